--- a/node/src/net/journal.rs
+++ b/node/src/net/journal.rs
@@ -36,6 +36,20 @@
         Journal { addr, position, conn: None, turn: 0, last_heard: Duration::ZERO }
     }
 
+    /// The configuration was read again. At another address the numbers go on: the stream there begins after
+    /// the last event that was taken in, and what the old one still had to tell comes on the new one.
+    pub fn switch(&mut self, addr: SocketAddr, cx: &mut Context) {
+        let same = if self.addr == addr { "as before" } else { "new" };
+        cx.log.line(cx.now, "reloaded", format_args!("journal service at {addr}, {same}"));
+        if self.addr != addr {
+            self.addr = addr;
+            if let Some(mut conn) = self.conn.take() {
+                let _ = cx.registry.deregister(&mut conn.stream);
+            }
+            self.dial(cx);
+        }
+    }
+
     /// Connects, and asks for all events after the last one known.
     pub fn dial(&mut self, cx: &mut Context) {
         self.turn += 1;
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -17,7 +17,7 @@
 use journal::Journal;
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Registry};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
 use sip::{Sip, SipDue};
 use slateshed::{ExchangeId, ExchangeNumber, Layout};
@@ -139,13 +139,18 @@
     }
 }
 
-/// Runs the call controller until a planned stop is done.
-pub fn run(config: Config) -> io::Result<()> {
+/// Runs the call controller until a planned stop is done. `read` reads the configuration: once for the start,
+/// and again at each SIGHUP.
+pub fn run(read: impl Fn() -> Result<Config, String>) -> Result<(), String> {
+    serve(read()?, read).map_err(|e| e.to_string())
+}
+
+fn serve(config: Config, read: impl Fn() -> Result<Config, String>) -> io::Result<()> {
     let base = SystemTime::now().duration_since(UNIX_EPOCH).map_err(io::Error::other)?;
     let clock = Clock { base, start: Instant::now() };
     let mut poll = Poll::new()?;
     let mut events = Events::with_capacity(1024);
-    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let mut signals = Signals::new([SIGHUP, SIGTERM, SIGINT])?;
     let none = Token::from_bits(0);
     poll.registry().register(&mut signals, Kind::Signals.token(none), Interest::READABLE)?;
     let mut listener = TcpListener::bind(config.listen)?;
@@ -199,13 +204,21 @@
                 (Some(Kind::SipListener), _) => sip.iter_mut().for_each(|s| s.accept(&mut cx)),
                 (Some(Kind::SipStream), token) => sip.iter_mut().for_each(|s| s.stream(token, &mut cx)),
                 (Some(Kind::Signals), _) => {
-                    if signals.pending().next().is_some() && stop_at.is_none() {
-                        stop_at = Some(now);
-                        cx.stopping = true;
-                        let owed = cx.engine.owed();
-                        cx.log.line(now, "stopping", format_args!("{owed} answers owed"));
-                        cx.deadlines.set(now + STOP_TAKES, Due::Stop);
-                        cx.engine.stop(now + STOP_BY, cx.deadlines);
+                    for signal in signals.pending() {
+                        if signal == SIGHUP {
+                            // A file that is wrong, or gone, changes nothing.
+                            match read() {
+                                Ok(new) => journal.switch(new.journal, &mut cx),
+                                Err(e) => cx.log.line(now, "reload-failed", e),
+                            }
+                        } else if stop_at.is_none() {
+                            stop_at = Some(now);
+                            cx.stopping = true;
+                            let owed = cx.engine.owed();
+                            cx.log.line(now, "stopping", format_args!("{owed} answers owed"));
+                            cx.deadlines.set(now + STOP_TAKES, Due::Stop);
+                            cx.engine.stop(now + STOP_BY, cx.deadlines);
+                        }
                     }
                 }
                 (None, _) => {}
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -102,7 +102,17 @@
     }
 
     pub fn terminate(&mut self) {
-        let done = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        self.signal("-TERM");
+    }
+
+    /// Puts another configuration in the place of the old one and has it read.
+    pub fn reload(&mut self, config: &str) {
+        std::fs::write(self.dir.join("config.json"), config).expect("a file");
+        self.signal("-HUP");
+    }
+
+    fn signal(&mut self, signal: &str) {
+        let done = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
         assert!(done.expect("kill runs").success());
     }
 
--- a/node/tests/lines.rs
+++ b/node/tests/lines.rs
@@ -161,6 +161,37 @@
     assert_eq!(journal.accept().hear(), "tail 2");
 }
 
+/// Guards against SIGHUP ending the program, against numbers that begin anew at another journal service, calls
+/// that are lost with the old one, and a faulty file that replaces one that works.
+#[test]
+fn sighup_switches_the_journal_and_keeps_numbers_and_calls() {
+    let (exchange, addr) = listener();
+    let (journal, next) = (JournalPeer::new(), JournalPeer::new());
+    let servers = [server("s-own", 0, "in_service", addr), server("s-one", 1, "in_service", addr)];
+    let mut node = Node::start(&config(journal.addr, &servers), None);
+    let mut stream = journal.accept();
+    assert_eq!(stream.hear(), "tail 1");
+    stream.say(&event(2, false, &[server("s-two", 2, "in_service", addr)]));
+    node.logged("list: event 2");
+    let mut link = Lines::accept(&exchange);
+    let mut client = node.client();
+    client.start(TAG, 9000, 1);
+    link.hear_start();
+    node.reload("{");
+    node.logged("reload-failed");
+    node.reload(&config(next.addr, &servers));
+    let mut moved = next.accept();
+    assert_eq!(moved.hear(), "tail 2");
+    assert_eq!(stream.hear(), "", "the old stream is closed");
+    moved.say(&event(3, false, &[server("s-one", 1, "terminating", addr)]));
+    node.logged("list: event 3");
+    link.say(&format!(r#"{{"verb":"STARTED","tag":"{TAG}","opts":{{}},"blob":"b"}}"#));
+    assert!(client.hear().contains("STARTED"));
+    // A stream that breaks is opened again there too.
+    drop(moved);
+    assert_eq!(next.accept().hear(), "tail 3");
+}
+
 /// Guards against a planned restart that loses what was taken.
 #[test]
 fn sigterm_settles_what_is_owed_and_ends_with_0() {
