Excuse faults and spoilt answers: no long delay, and the call is sent again

Ruled out: SIGHUP (the loss is there from 1.4 s, the first new file comes at 3.5 s), circuits, the own processor (own.delay=0), the cold budget.

At fault: control.rs, attempt_over, the last arm: every fault stood for the mean aim as a delay, so one fault in ten shut the latch; and 'again = !direct' gave a direct call up at its first fault. A connection that ended came there too, as Reset, though one spoilt answer says nothing of the processor.

Now a fault counts as the delay that it took where that is above the estimate; eight in a row, with no answer between, stand for a long one. The end of a connection has an outcome of its own, Disconnected, and counts the same way, after the wait for release. Two of either are excused for a call.

--- a/node/src/end.rs
+++ b/node/src/end.rs
@@ -59,8 +59,11 @@
     pub fn outcome(self) -> Outcome {
         match self {
             End::Refused | End::DialTimedOut | End::NoSocket => Outcome::Unreachable,
-            End::Closed | End::Broken | End::Silent | End::Garbage | End::Oversized => Outcome::Reset,
-            End::Backlog | End::ClosedHere | End::Cut => Outcome::Reset,
+            End::Closed | End::Broken | End::Silent | End::Garbage | End::Oversized => {
+                Outcome::Disconnected
+            }
+            End::Backlog | End::ClosedHere => Outcome::Disconnected,
+            End::Cut => Outcome::Reset,
             End::TimedOut => Outcome::TimedOut,
             End::GivenUp => Outcome::Cancelled,
             End::NotSent => Outcome::NotSent,
@@ -77,7 +80,8 @@
 
     /// Whether what is still held for the attempt may take a while to come free.
     pub fn needs_release_wait(self) -> bool {
-        matches!(self.outcome(), Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled)
+        use Outcome::*;
+        matches!(self.outcome(), TimedOut | Reset | Disconnected | Cancelled)
     }
 }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -55,6 +55,10 @@
 const TURNED_BACK_REST: f64 = 1.0;
 /// Tandems tried for one call at most: each turn-back is work for two processors.
 const MOST_TANDEMS: usize = 2;
+/// Faults and ends of a connection that are excused for one call: they speak of that set-up alone.
+const MOST_EXCUSED: u32 = 2;
+/// Faults in a row, with no other answer between, by which a processor has failed as a whole.
+const FAULTS_IN_A_ROW: u32 = 8;
 /// Each turn-back in a row doubles the rest, up to this many mean holds: by then half the calls on the
 /// second leg are others.
 const TURNED_BACK_MOST: f64 = 0.7;
@@ -88,6 +92,8 @@
     last_set_up: Option<Duration>,
     /// No sample before this: a set-up given up may still wait in line for as long again.
     rest_until: Duration,
+    /// Faults since the last other answer.
+    faults: u32,
     unanswered: BTreeSet<(Duration, CallId)>,
 }
 
@@ -204,6 +210,8 @@
     over: bool,
     /// Processors tried in vain.
     tried: Vec<ExchangeId>,
+    /// Faults and ends of a connection after which it was sent again all the same.
+    excused: u32,
     /// The first attempt that may have run: where and when.
     may_have_run: Option<(ExchangeId, Duration)>,
 }
@@ -541,6 +549,7 @@
             attempts: 0,
             over: false,
             tried: Vec::new(),
+            excused: 0,
             may_have_run: None,
         };
         self.calls.insert(call, held);
@@ -680,10 +689,27 @@
         if let Some(far) = self.far.get_mut(&exchange) {
             let lowest = far.est.lowest.map_or(delay, |l| l.min(delay)).max(1e-3);
             far.est.lowest = Some(lowest);
+            far.est.faults = 0;
             far.est.sample(sent, (delay - own).max(lowest.min(delay)));
         }
     }
 
+    /// Takes in a fault, or a connection that ended: they come from more than a jam, as a spoilt answer or
+    /// a call that nobody could have served. Each stands for the delay it took where that is above the
+    /// estimate, and else for none, since a processor that fails at once is no tandem of low delay. Only
+    /// faults in a row stand for a long delay. Guards against shutting a processor that serves most of its
+    /// calls; could harm, by the work of some set-ups more, where one fails for good.
+    fn failure(&mut self, exchange: ExchangeId, sent: Duration, (delay, long): (f64, f64), fault: bool) {
+        let own = self.own.delay;
+        if let Some(est) = self.far.get_mut(&exchange).map(|f| &mut f.est) {
+            est.faults += u32::from(fault);
+            let delay = if est.faults >= FAULTS_IN_A_ROW { long } else { delay } - own;
+            if est.smoothed.is_some_and(|s| delay > s) {
+                est.sample(sent, delay);
+            }
+        }
+    }
+
     fn attempt_over(&mut self, end: AttemptEnd, actions: &mut Vec<Action>) {
         let (call, settled) = (end.call, end.settled);
         let Some(held) = self.calls.get(&call) else {
@@ -701,7 +727,7 @@
         // A failure stands for a long delay: as long as it took, and the aim at least.
         let long = delay.max(self.mean_aim);
         let direct = self.far.get(&exchange).is_some_and(|f| f.number == to);
-        let (mut again, mut release) = (true, false);
+        let (mut again, mut release, mut excused) = (true, false, false);
         match end.outcome {
             Outcome::Ended => self.sample_answer(exchange, sent, delay),
             Outcome::NoCircuit => {
@@ -730,8 +756,14 @@
             Outcome::Cancelled => release = true,
             Outcome::NotSent => {}
             Outcome::OwnProcessorDown => again = false,
-            // Full, a fault, a time-out, a cut, no connection: each stands for a long delay. A processor
-            // that fails at once would else be the tandem of lowest delay and draw calls.
+            Outcome::Fault | Outcome::Disconnected => {
+                self.failure(exchange, sent, (delay, long), end.outcome == Outcome::Fault);
+                release = end.outcome == Outcome::Disconnected;
+                excused = self.calls[&call].excused < MOST_EXCUSED;
+                again = excused || !direct;
+            }
+            // Full, a time-out, a cut, no connection: each stands for a long delay. A processor that fails at
+            // once would else be the tandem of lowest delay and draw calls.
             _ => {
                 let (mut told, mut rest) = (0.0, now.saturating_add(end.delay));
                 if let Outcome::ProcessorFull(wait) = end.outcome {
@@ -757,7 +789,11 @@
         if !end.outcome.never_ran() && held.may_have_run.is_none() {
             held.may_have_run = Some((exchange, sent));
         }
-        held.tried.push(exchange);
+        if excused {
+            held.excused += 1;
+        } else {
+            held.tried.push(exchange);
+        }
         held.state = CallState::Waiting(now);
         let wait = self.settings.rules.release * u32::from(release);
         let until = if release {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -324,6 +324,8 @@
     Unreachable,
     /// The set-up or the standing call was cut.
     Reset,
+    /// The connection that the set-up was on ended, or what came on it was spoilt; it may have run.
+    Disconnected,
     /// Called off.
     Cancelled,
     /// Not sent at all.
