--- a/tests/controller/failures.rs
+++ b/tests/controller/failures.rs
@@ -444,7 +444,7 @@
     host.answer_calls(2, 10, ms(50), ms(50));
     host.answer_calls(1, 10, ms(50), ms(50));
     // Faults in a row, five to a call: each is excused while it may be sent again.
-    for _ in 0..10 {
+    for _ in 0..11 {
         let (call, actions) = host.call(1);
         assert!(actions.len() == 1);
         for attempt in 0..5 {
