--- a/tests/controller/failures.rs
+++ b/tests/controller/failures.rs
@@ -449,6 +449,7 @@
         assert!(actions.len() == 1);
         for attempt in 0..5 {
             host.over(call, attempt, Outcome::Fault);
+            host.circuits(1, 30);
         }
     }
     assert_eq!(sent_to(&host.call(1).1), None, "quick faults are no low delay");
