--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -1,6 +1,9 @@
 //! The one place where the environment, `ROUTER_CONFIG` and the operator's file are read, checked and
 //! given defaults. Every error names the key at fault.
 
+use crate::net::conn::Bounds;
+use crate::net::lines;
+use crate::net::sip::message;
 use crate::net::sip::transaction::{Protocol, Target, Times};
 use slateshed::{ExchangeNumber, Listed, Phase, Settings};
 use slateshed_settings::{self as read, duration, JsonValue};
@@ -26,6 +29,68 @@
     pub lines: Vec<(Listed, SocketAddr)>,
 }
 
+/// What the process may hold, and the bounds of its tables and buffers that follow from it.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// File descriptors.
+    pub sockets: usize,
+    /// Bytes of memory.
+    pub memory: usize,
+}
+
+impl Limits {
+    /// Connections of clients: beyond this the idle ones make way. Callers hold a third of the descriptors at
+    /// most; the rest of this half is for those that are not callers.
+    pub fn clients(&self) -> usize {
+        self.sockets / 2
+    }
+
+    /// Connections of clients beyond which new ones are closed, should none be idle.
+    pub fn most_clients(&self) -> usize {
+        self.sockets * 5 / 8
+    }
+
+    /// Connections to one exchange. A spoilt answer costs all set-ups on its connection, so there are several;
+    /// more than four get no reports.
+    pub fn links(&self) -> usize {
+        (self.sockets / 64).clamp(1, 4)
+    }
+
+    /// A client's connection: all of them together may hold a quarter of the memory.
+    pub fn client_bounds(&self) -> Bounds {
+        let each = self.memory / 4 / self.sockets.max(1);
+        Bounds { line: lines::LIMIT, waiting: each.max(2 * lines::LIMIT) }
+    }
+
+    /// A connection to an exchange.
+    pub fn exchange_bounds(&self) -> Bounds {
+        Bounds { line: lines::LIMIT, waiting: (self.memory / 128).max(4 * lines::LIMIT) }
+    }
+
+    /// The stream of the journal service: a whole list is longer than a message.
+    pub fn journal_bounds(&self) -> Bounds {
+        let line = (self.memory / 32).clamp(4 * lines::LIMIT, 64 * lines::LIMIT);
+        Bounds { line, waiting: lines::LIMIT }
+    }
+
+    /// Streams of the SIP front.
+    pub fn sip_streams(&self) -> usize {
+        self.sockets / 4
+    }
+
+    /// A stream of the SIP front.
+    pub fn sip_bounds(&self) -> Bounds {
+        let each = self.memory / 4 / self.sockets.max(1);
+        Bounds { line: message::LIMIT, waiting: each.max(2 * message::LIMIT) }
+    }
+
+    /// Calls that are owed an answer, over all fronts: an eighth of the memory, were each description as long
+    /// as a message can be.
+    pub fn calls(&self) -> usize {
+        (self.memory / 8 / lines::LIMIT).max(64)
+    }
+}
+
 /// All that the call controller is told.
 #[derive(Debug)]
 pub struct Config {
@@ -35,8 +100,8 @@
     pub listen: SocketAddr,
     /// For random numbers.
     pub seed: u64,
-    /// File descriptors that the process may hold.
-    pub sockets: usize,
+    /// What the process may hold.
+    pub limits: Limits,
     /// The journal service.
     pub journal: SocketAddr,
     /// The last event known at the start.
@@ -164,7 +229,10 @@
             name: read::text(&root, "name")?.to_owned(),
             listen: address(&root, "listen")?,
             seed,
-            sockets: read::count(&root, "limits.sockets")? as usize,
+            limits: Limits {
+                sockets: read::count(&root, "limits.sockets")? as usize,
+                memory: read::count(&root, "limits.memory_mb")? as usize * 1024 * 1024,
+            },
             journal: address(&root, "journal")?,
             position: read::number(&root, "known.pos")? as u64,
             known: known.collect::<Result<_, _>>()?,
--- a/node/src/end.rs
+++ b/node/src/end.rs
@@ -11,6 +11,8 @@
     Refused,
     /// The connection did not come up in time.
     DialTimedOut,
+    /// The connection was reset before anything was written to it.
+    NeverUp,
     /// No connection could be made from here: no descriptor, no route.
     NoSocket,
     /// The peer closed the connection in good order.
@@ -19,6 +21,8 @@
     Broken,
     /// The peer has been silent for too long.
     Silent,
+    /// The peer began a message and did not end it.
+    StoppedShort,
     /// The peer sent what is no message.
     Garbage,
     /// The peer sent more than a message may hold.
@@ -58,10 +62,9 @@
     /// nothing ran; any other end of a connection may have cut a set-up that did.
     pub fn outcome(self) -> Outcome {
         match self {
-            End::Refused | End::DialTimedOut | End::NoSocket => Outcome::Unreachable,
-            End::Closed | End::Broken | End::Silent | End::Garbage | End::Oversized => {
-                Outcome::Disconnected
-            }
+            End::Refused | End::DialTimedOut | End::NeverUp | End::NoSocket => Outcome::Unreachable,
+            End::Closed | End::Broken | End::Silent | End::StoppedShort => Outcome::Disconnected,
+            End::Garbage | End::Oversized => Outcome::Disconnected,
             End::Backlog | End::ClosedHere => Outcome::Disconnected,
             End::Cut => Outcome::Reset,
             End::TimedOut => Outcome::TimedOut,
@@ -90,10 +93,12 @@
         f.write_str(match self {
             End::Refused => "connection refused",
             End::DialTimedOut => "connection not up in time",
+            End::NeverUp => "reset before it was up",
             End::NoSocket => "no socket",
             End::Closed => "closed by the peer",
             End::Broken => "connection broke",
             End::Silent => "peer silent",
+            End::StoppedShort => "message not whole",
             End::Garbage => "no message",
             End::Oversized => "message too long",
             End::Backlog => "peer takes nothing in",
--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -158,8 +158,10 @@
     stay_away: Duration,
     calls: Slots<Call>,
     attempts: Slots<Attempt>,
+    /// Those of the list, and those gone on which an attempt is still out.
     exchanges: BTreeMap<ExchangeId, Exchange>,
     names: HashMap<String, ExchangeId>,
+    next_exchange: u32,
     /// Events for the controller that came up while others were handled.
     pending: VecDeque<Event>,
     actions: Vec<Action>,
@@ -179,6 +181,7 @@
             attempts: Slots::default(),
             exchanges: BTreeMap::new(),
             names: HashMap::new(),
+            next_exchange: 0,
             pending: VecDeque::from([Event::Started]),
             actions: Vec::new(),
             commands: VecDeque::new(),
@@ -186,6 +189,11 @@
         })
     }
 
+    /// How long a caller is told to stay away whom the controller has not decided on, where callers follow that.
+    pub fn stay_away(&self) -> Option<Duration> {
+        Some(self.stay_away).filter(|s| !s.is_zero())
+    }
+
     /// Whether a command waits to be carried out.
     pub fn has_commands(&self) -> bool {
         !self.commands.is_empty()
@@ -207,7 +215,12 @@
         self.attempts.iter().filter(|(_, a)| a.stands).count()
     }
 
-    /// The exchange of a name, if the list has ever had it.
+    /// Exchanges that are kept in mind.
+    pub fn known(&self) -> usize {
+        self.exchanges.len().max(self.names.len())
+    }
+
+    /// The exchange of a name, if the list has it.
     pub fn exchange(&self, name: &str) -> Option<ExchangeId> {
         self.names.get(name).copied()
     }
@@ -383,8 +396,9 @@
             }
         }
         for l in lines {
-            let next = ExchangeId(self.exchanges.len() as u32);
+            let next = ExchangeId(self.next_exchange);
             let id = *self.names.entry(l.name.clone()).or_insert(next);
+            self.next_exchange += u32::from(id == next);
             let e = self.exchanges.entry(id).or_insert_with(|| Exchange {
                 name: l.name.clone(),
                 number: l.number,
@@ -407,6 +421,17 @@
         self.run(now, d);
     }
 
+    /// Forgets the exchanges that are gone, once nothing is out there. They are replaced for good, under other
+    /// names, so whoever keeps them grows for as long as it runs. Fronts look names up until the news is dealt
+    /// with, so this is for them to call then.
+    pub fn forget_gone(&mut self) {
+        let attempts = &self.attempts;
+        self.exchanges
+            .retain(|id, e| e.phase != Phase::Gone || attempts.iter().any(|(_, a)| a.exchange == *id));
+        let exchanges = &self.exchanges;
+        self.names.retain(|_, id| exchanges.contains_key(id));
+    }
+
     /// A deadline of the engine is due.
     pub fn wake<D: From<Wake>>(&mut self, now: Duration, wake: Wake, d: &mut Deadlines<D>) {
         match wake {
@@ -444,7 +469,7 @@
         }
         if self.calls.remove(call.0).is_some() {
             self.pending.push_back(Event::CallerGone(CallId(call.0.bits())));
-            let stay = Some(self.stay_away).filter(|s| !s.is_zero());
+            let stay = self.stay_away();
             self.commands.push_back(Command::Refuse(call, stay));
         }
     }
--- a/node/src/net/clients.rs
+++ b/node/src/net/clients.rs
@@ -1,9 +1,9 @@
 //! The callers' side of the platform's wire.
 
 use super::conn::Conn;
-use super::lines::{figure, line, Message, LIMIT};
+use super::lines::{figure, line, Message};
 use super::{Context, Due, Kind};
-use crate::config::Words;
+use crate::config::{Limits, Words};
 use crate::end::End;
 use crate::engine::{CallToken, Cause, Command, Incoming, Offer};
 use crate::slots::{Slots, Token};
@@ -48,8 +48,7 @@
 /// All client connections and the calls that came on them.
 pub struct Clients {
     listener: TcpListener,
-    /// Connections that are held at most, while an idle one can make way.
-    most: usize,
+    limits: Limits,
     conns: Slots<Client>,
     calls: HashMap<CallToken, Known>,
     by_tag: HashMap<String, CallToken>,
@@ -60,10 +59,10 @@
 
 impl Clients {
     /// Takes over the listener, which is registered already.
-    pub fn new(listener: TcpListener, most: usize) -> Self {
+    pub fn new(listener: TcpListener, limits: Limits) -> Self {
         Clients {
             listener,
-            most,
+            limits,
             conns: Slots::default(),
             calls: HashMap::new(),
             by_tag: HashMap::new(),
@@ -87,7 +86,7 @@
         loop {
             match self.listener.accept() {
                 Ok((stream, peer)) => {
-                    if self.conns.len() >= self.most {
+                    if self.conns.len() >= self.limits.clients() {
                         self.make_way(cx);
                     }
                     self.add(stream, peer.ip(), cx)
@@ -116,13 +115,13 @@
 
     fn add(&mut self, mut stream: TcpStream, peer: IpAddr, cx: &mut Context) {
         let now = cx.now;
-        let registry = cx.registry;
+        let (registry, bounds) = (cx.registry, self.limits.client_bounds());
         let mut registered = Ok(());
         let token = self.conns.insert_with(|token| {
             let both = Interest::READABLE | Interest::WRITABLE;
             registered = registry.register(&mut stream, Kind::Client.token(token), both);
             Client {
-                conn: Conn::new(stream, LIMIT, true),
+                conn: Conn::new(stream, bounds, true),
                 peer,
                 open: 0,
                 last_heard: now,
--- a/node/src/net/conn.rs
+++ b/node/src/net/conn.rs
@@ -6,8 +6,9 @@
 
 /// Bytes read at a time.
 const CHUNK: usize = 16 * 1024;
-/// Bytes that may wait for a peer that takes nothing in.
-const MOST_WAITING: usize = 1024 * 1024;
+/// A buffer that is empty keeps no more room than this: one burst on each of many connections would else hold
+/// its memory for good.
+const KEPT: usize = 1024;
 
 /// One connection.
 #[derive(Debug)]
@@ -16,18 +17,31 @@
     pub stream: TcpStream,
     up: bool,
     input: Vec<u8>,
-    /// Most bytes of one line.
-    limit: usize,
+    /// How much of the input has been taken out as lines.
+    taken: usize,
+    bounds: Bounds,
     output: Vec<u8>,
     written: usize,
+    /// Bytes sent, ever, and of those the ones that the system has not taken over yet are in `output`.
+    sent: u64,
+}
+
+/// What one connection may hold.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Most bytes of one line.
+    pub line: usize,
+    /// Most bytes that may wait for a peer that takes nothing in.
+    pub waiting: usize,
 }
 
 impl Conn {
-    /// A connection whose lines hold `limit` bytes at most. One that is dialled is not `up` yet.
-    pub fn new(stream: TcpStream, limit: usize, up: bool) -> Self {
+    /// A connection within its bounds. One that is dialled is not `up` yet.
+    pub fn new(stream: TcpStream, bounds: Bounds, up: bool) -> Self {
         // Each message is wanted at once; a connection that can't have it still works.
         let _ = stream.set_nodelay(true);
-        Conn { stream, up, input: Vec::new(), limit, output: Vec::new(), written: 0 }
+        let (input, output) = (Vec::new(), Vec::new());
+        Conn { stream, up, input, taken: 0, bounds, output, written: 0, sent: 0 }
     }
 
     /// Whether the connection has come up.
@@ -54,34 +68,52 @@
 
     /// Reads once; the bytes read, or none where there is nothing more for now.
     pub fn fill(&mut self) -> Result<usize, End> {
-        let old = self.input.len();
-        self.input.resize(old + CHUNK, 0);
+        self.compact();
+        let mut chunk = [0; CHUNK];
         let read = loop {
-            match self.stream.read(&mut self.input[old..]) {
+            match self.stream.read(&mut chunk) {
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 other => break other,
             }
         };
-        self.input.truncate(old + read.as_ref().map_or(0, |n| *n));
         match read {
             Ok(0) => Err(End::Closed),
-            Ok(n) => Ok(n),
+            Ok(n) => {
+                self.input.extend_from_slice(&chunk[..n]);
+                Ok(n)
+            }
             Err(e) if e.kind() == ErrorKind::WouldBlock => Ok(0),
             Err(_) => Err(End::Broken),
         }
     }
 
+    /// Gives up the room of what has been taken out.
+    fn compact(&mut self) {
+        self.input.drain(..self.taken);
+        self.taken = 0;
+        if self.input.is_empty() && self.input.capacity() > KEPT {
+            self.input = Vec::new();
+        }
+    }
+
     /// Takes the next whole line out, without its line feed.
     pub fn line(&mut self) -> Result<Option<Vec<u8>>, End> {
-        let end = self.input.iter().position(|b| *b == b'\n');
-        if end.unwrap_or(self.input.len()) > self.limit {
+        let rest = &self.input[self.taken..];
+        let end = rest.iter().position(|b| *b == b'\n');
+        if end.unwrap_or(rest.len()) > self.bounds.line {
             return Err(End::Oversized);
         }
-        Ok(end.map(|end| {
-            let mut line: Vec<u8> = self.input.drain(..=end).collect();
-            line.pop();
-            line
-        }))
+        let line = end.map(|end| rest[..end].to_vec());
+        match &line {
+            Some(line) => self.taken += line.len() + 1,
+            None => self.compact(),
+        }
+        Ok(line)
+    }
+
+    /// Whether a line has begun and is not whole.
+    pub fn has_part(&self) -> bool {
+        self.taken < self.input.len()
     }
 
     /// Bytes received and not taken out yet.
@@ -91,13 +123,26 @@
 
     /// Queues bytes and writes what the peer takes at once.
     pub fn send(&mut self, bytes: &[u8]) -> Result<(), End> {
-        if self.output.len() - self.written + bytes.len() > MOST_WAITING {
+        if self.output.len() - self.written + bytes.len() > self.bounds.waiting {
             return Err(End::Backlog);
         }
         self.output.extend_from_slice(bytes);
+        self.sent += bytes.len() as u64;
         self.flush()
     }
 
+    /// Bytes sent so far: where the next message begins in the stream.
+    pub fn sent(&self) -> u64 {
+        self.sent
+    }
+
+    /// Whether the stream's bytes up to a place have all been handed to the system. What has not can't have
+    /// reached the peer whole.
+    pub fn has_written(&self, up_to: u64) -> bool {
+        let waiting = (self.output.len() - self.written) as u64;
+        up_to <= self.sent - waiting
+    }
+
     /// Writes what waits, as far as the peer takes it.
     pub fn flush(&mut self) -> Result<(), End> {
         if !self.up {
@@ -114,6 +159,9 @@
         }
         self.output.clear();
         self.written = 0;
+        if self.output.capacity() > KEPT {
+            self.output = Vec::new();
+        }
         Ok(())
     }
 
@@ -130,8 +178,11 @@
         ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable => {
             End::DialTimedOut
         }
-        // Reset before it was up: nothing was written to it.
-        ErrorKind::ConnectionReset | ErrorKind::ConnectionAborted => End::Refused,
+        // Reset before it was seen to be up. Nothing was written to it; but somebody was there to take it, so
+        // it does not prove that the process is down.
+        ErrorKind::ConnectionReset | ErrorKind::ConnectionAborted | ErrorKind::BrokenPipe => {
+            End::NeverUp
+        }
         _ => End::NoSocket,
     }
 }
--- a/node/src/net/exchanges.rs
+++ b/node/src/net/exchanges.rs
@@ -2,34 +2,56 @@
 //! group arrives unasked on them.
 
 use super::conn::{dial_end, Conn};
-use super::lines::{figure, line, Message, LIMIT};
+use super::lines::{figure, line, Message};
 use super::{Context, Due, Kind};
+use crate::config::Limits;
 use crate::end::End;
-use crate::engine::{AttemptToken, Cause, Command};
+use crate::engine::{AttemptToken, Cause, Command, Offer};
 use crate::slots::{Slots, Token};
 use mio::net::TcpStream;
 use mio::Interest;
 use slateshed::{ExchangeId, Phase};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Wait before an exchange that could not be reached is dialled again without a call for it; doubled up to
 /// the longest.
 const REDIAL: Duration = Duration::from_millis(250);
 const REDIAL_MOST: Duration = Duration::from_secs(2);
+/// Wait before a connection is replaced that ended with nothing heard on it, where others are up.
+const REPLACE: Duration = Duration::from_millis(50);
 
 /// A set-up given up after this time, with nothing heard on its connection since, makes that suspect.
 const SILENT: Duration = Duration::from_millis(750);
+/// A message is written at once: what is still not whole after this time has stopped short.
+const STOPPED_SHORT: Duration = Duration::from_millis(200);
+/// States of the group that the other connections to an exchange brought while one brought none: that one is
+/// silent. A report travels no longer on one than on the other.
+const MISSED: u32 = 3;
+/// And not before this time.
+const MISSED_FOR: Duration = Duration::from_millis(150);
+/// Connections on which an exchange tells the state of the group.
+const REPORTED_ON: usize = 4;
+/// Times that a set-up which never left goes on another connection.
+const MOVES: u32 = 3;
+/// Reads of a connection in one turn. What is left is read in the next, after all others have had theirs.
+const READS: usize = 16;
+/// How long a release waits for a connection, and how many do.
+const RELEASE_KEPT: Duration = Duration::from_secs(8);
+const MOST_UNSENT: usize = 1024;
 
 struct Peer {
     addr: SocketAddr,
     phase: Phase,
-    /// The connection that new set-ups go on.
-    current: Option<Token>,
+    /// The connections that new set-ups go on, up or on their way.
+    links: Vec<Token>,
     redial: Duration,
     /// A redial is set already.
     waiting: bool,
+    /// Releases of calls that stand, with no connection to go on yet.
+    unsent: Vec<(Duration, Vec<u8>)>,
 }
 
 struct Link {
@@ -38,26 +60,58 @@
     /// Set-ups on it that have no answer yet.
     open: Vec<AttemptToken>,
     last_heard: Duration,
+    /// Anything has been heard on it: the exchange speaks first on each new one.
+    heard: bool,
+    /// States of the group heard on others since the last on this.
+    missed: u32,
+    /// Since when a message has begun and is not whole.
+    part_since: Option<Duration>,
 }
 
 struct Sent {
-    tag: String,
+    offer: Rc<Offer>,
     exchange: ExchangeId,
     link: Token,
     at: Duration,
+    until: Duration,
+    /// Where it ends in the stream of its connection.
+    end_at: u64,
+    moves: u32,
 }
 
 /// All connections to exchanges and the attempts on them.
-#[derive(Default)]
 pub struct Exchanges {
+    limits: Limits,
     peers: BTreeMap<ExchangeId, Peer>,
     links: Slots<Link>,
     attempts: HashMap<AttemptToken, Sent>,
     by_tag: HashMap<(ExchangeId, String), AttemptToken>,
     doomed: Vec<(Token, End)>,
+    /// Connections that had more to read than one turn allows.
+    unread: Vec<Token>,
+}
+
+/// A set-up as it goes to an exchange.
+pub fn set_up(offer: &Offer, wait: Duration) -> Vec<u8> {
+    let left = wait.as_millis().to_string();
+    let opts = [("class", offer.class.as_str()), ("key", &offer.key), ("left", &left)];
+    line("START", &offer.id, &opts, None, Some(&offer.description))
 }
 
 impl Exchanges {
+    /// No exchanges yet.
+    pub fn new(limits: Limits) -> Self {
+        Exchanges {
+            limits,
+            peers: BTreeMap::new(),
+            links: Slots::default(),
+            attempts: HashMap::new(),
+            by_tag: HashMap::new(),
+            doomed: Vec::new(),
+            unread: Vec::new(),
+        }
+    }
+
     /// Whether an attempt went out here.
     pub fn owns(&self, attempt: AttemptToken) -> bool {
         self.attempts.contains_key(&attempt)
@@ -68,70 +122,98 @@
         self.links.iter().all(|(_, l)| !l.conn.is_up() || l.conn.is_flushed())
     }
 
-    /// The list has named an exchange, or has news of it.
+    /// The list has named an exchange, or has news of it. One that is gone is not known here any longer.
     pub fn listed(&mut self, exchange: ExchangeId, addr: SocketAddr, phase: Phase, cx: &mut Context) {
-        let peer = self.peers.entry(exchange).or_insert(Peer {
+        if phase == Phase::Gone {
+            return self.gone(exchange, cx);
+        }
+        let peer = self.peers.entry(exchange).or_insert_with(|| Peer {
             addr,
             phase,
-            current: None,
+            links: Vec::new(),
             redial: REDIAL,
             waiting: false,
+            unsent: Vec::new(),
         });
+        peer.phase = phase;
         if peer.addr != addr {
             peer.addr = addr;
-            self.retire(exchange, cx);
-        }
-        if let Some(peer) = self.peers.get_mut(&exchange) {
-            peer.phase = phase;
-        }
-        if phase == Phase::Gone {
-            self.retire(exchange, cx);
-        } else {
-            self.dial(exchange, cx);
+            self.retire_all(exchange, cx);
         }
+        self.refill(exchange, cx);
     }
 
     /// Exchanges that the whole list lacks are gone.
     pub fn keep_only(&mut self, named: &[ExchangeId], cx: &mut Context) {
         let gone: Vec<_> = self.peers.keys().filter(|e| !named.contains(e)).copied().collect();
-        for exchange in gone {
-            if let Some(peer) = self.peers.get_mut(&exchange) {
-                peer.phase = Phase::Gone;
-            }
-            self.retire(exchange, cx);
-        }
+        gone.into_iter().for_each(|exchange| self.gone(exchange, cx));
+    }
+
+    fn gone(&mut self, exchange: ExchangeId, cx: &mut Context) {
+        self.retire_all(exchange, cx);
+        self.peers.remove(&exchange);
     }
 
-    /// No new set-up goes on the current connection; it is closed once none is open on it.
-    fn retire(&mut self, exchange: ExchangeId, cx: &mut Context) {
-        if let Some(token) = self.peers.get_mut(&exchange).and_then(|p| p.current.take()) {
-            self.close_if_done(token, cx);
+    /// No new set-up goes on a connection; it is closed once none is open on it.
+    fn retire(&mut self, token: Token, cx: &mut Context) {
+        if let Some(peer) = self.links.get(token).and_then(|l| self.peers.get_mut(&l.exchange)) {
+            peer.links.retain(|t| *t != token);
         }
+        self.close_if_done(token, cx);
+    }
+
+    fn retire_all(&mut self, exchange: ExchangeId, cx: &mut Context) {
+        let links = self.peers.get(&exchange).map_or(Vec::new(), |p| p.links.clone());
+        links.into_iter().for_each(|token| self.retire(token, cx));
     }
 
     fn close_if_done(&mut self, token: Token, cx: &mut Context) {
         let Some(link) = self.links.get(token).filter(|l| l.open.is_empty()) else {
             return;
         };
-        if self.peers.get(&link.exchange).is_none_or(|p| p.current != Some(token)) {
+        if self.peers.get(&link.exchange).is_none_or(|p| !p.links.contains(&token)) {
             self.end(token, End::ClosedHere, cx);
         }
     }
 
-    /// Makes sure that a connection is up or on its way.
-    fn dial(&mut self, exchange: ExchangeId, cx: &mut Context) -> Option<Token> {
-        let peer = self.peers.get_mut(&exchange)?;
-        if peer.current.is_some() {
-            return peer.current;
+    /// Whether a connection to an exchange is up, and how many are.
+    fn up(&self, exchange: ExchangeId) -> usize {
+        let links = self.peers.get(&exchange).map_or(&[][..], |p| &p.links);
+        links.iter().filter(|t| self.links.get(**t).is_some_and(|l| l.conn.is_up())).count()
+    }
+
+    /// Makes sure that a connection is up or on its way, and several where one is up. While none is, one at a
+    /// time is tried.
+    fn refill(&mut self, exchange: ExchangeId, cx: &mut Context) {
+        loop {
+            let Some(have) = self.peers.get(&exchange).map(|p| p.links.len()) else {
+                return;
+            };
+            let want = if self.up(exchange) > 0 { self.limits.links() } else { 1 };
+            if have >= want || self.dial(exchange, cx).is_none() {
+                return;
+            }
         }
+    }
+
+    /// The connection for a new set-up: of those that the exchange has spoken on, the one with the fewest
+    /// set-ups open; else one that is up; else one on its way.
+    fn pick(&mut self, exchange: ExchangeId, cx: &mut Context) -> Option<Token> {
+        let peer = self.peers.get(&exchange)?;
+        let links = peer.links.iter().filter_map(|t| Some((*t, self.links.get(*t)?)));
+        let rank = |l: &Link| (l.part_since.is_some(), !l.heard, !l.conn.is_up(), l.open.len());
+        let best = links.min_by_key(|(_, l)| rank(l)).map(|(token, _)| token);
+        best.or_else(|| self.dial(exchange, cx))
+    }
+
+    /// Begins a connection.
+    fn dial(&mut self, exchange: ExchangeId, cx: &mut Context) -> Option<Token> {
+        let addr = self.peers.get(&exchange)?.addr;
         let failed = |cx: &mut Context, end: End| {
-            cx.log.line(
-                cx.now,
-                "exchange-unreachable",
-                format_args!("{}: {end}", cx.engine.name(exchange)),
-            );
+            let name = cx.engine.name(exchange);
+            cx.log.line(cx.now, "exchange-unreachable", format_args!("{name}: {end}"));
         };
-        let mut stream = match TcpStream::connect(peer.addr) {
+        let mut stream = match TcpStream::connect(addr) {
             Ok(stream) => stream,
             Err(e) => {
                 failed(cx, dial_end(e.kind()));
@@ -139,12 +221,20 @@
                 return None;
             }
         };
-        let (registry, now) = (cx.registry, cx.now);
+        let (registry, now, bounds) = (cx.registry, cx.now, self.limits.exchange_bounds());
         let mut registered = Ok(());
         let token = self.links.insert_with(|token| {
             let both = Interest::READABLE | Interest::WRITABLE;
             registered = registry.register(&mut stream, Kind::Exchange.token(token), both);
-            Link { conn: Conn::new(stream, LIMIT, false), exchange, open: Vec::new(), last_heard: now }
+            Link {
+                conn: Conn::new(stream, bounds, false),
+                exchange,
+                open: Vec::new(),
+                last_heard: now,
+                heard: false,
+                missed: 0,
+                part_since: None,
+            }
         });
         if registered.is_err() {
             self.links.remove(token);
@@ -152,18 +242,20 @@
             self.redial(exchange, cx);
             return None;
         }
-        peer.current = Some(token);
+        self.peers.get_mut(&exchange)?.links.push(token);
         cx.deadlines.set(now + cx.dial_timeout, Due::Dial(token));
         Some(token)
     }
 
     fn redial(&mut self, exchange: ExchangeId, cx: &mut Context) {
-        if let Some(peer) =
-            self.peers.get_mut(&exchange).filter(|p| !p.waiting && p.phase != Phase::Gone)
-        {
+        let up = self.up(exchange) > 0;
+        if let Some(peer) = self.peers.get_mut(&exchange).filter(|p| !p.waiting) {
             peer.waiting = true;
-            cx.deadlines.set(cx.now + peer.redial, Due::Redial(exchange));
-            peer.redial = (peer.redial * 2).min(REDIAL_MOST);
+            let wait = if up { REPLACE } else { peer.redial };
+            cx.deadlines.set(cx.now + wait, Due::Redial(exchange));
+            if !up {
+                peer.redial = (peer.redial * 2).min(REDIAL_MOST);
+            }
         }
     }
 
@@ -171,9 +263,7 @@
     pub fn redial_due(&mut self, exchange: ExchangeId, cx: &mut Context) {
         if let Some(peer) = self.peers.get_mut(&exchange) {
             peer.waiting = false;
-            if peer.phase != Phase::Gone {
-                self.dial(exchange, cx);
-            }
+            self.refill(exchange, cx);
         }
     }
 
@@ -184,39 +274,40 @@
         }
     }
 
+    /// A message should have got whole by now.
+    pub fn part_due(&mut self, token: Token, cx: &mut Context) {
+        match self.links.get(token).and_then(|l| l.part_since) {
+            Some(since) if cx.now >= since + STOPPED_SHORT => self.end(token, End::StoppedShort, cx),
+            Some(since) => cx.deadlines.set(since + STOPPED_SHORT, Due::Part(token)),
+            None => {}
+        }
+    }
+
     /// Carries out a command for an exchange.
     pub fn command(&mut self, command: Command, cx: &mut Context) {
         match command {
             Command::SetUp { attempt, exchange, offer, wait } => {
-                let Some(token) = self.dial(exchange, cx) else {
-                    return cx.engine.attempt_ended(cx.now, attempt, End::NoSocket, cx.deadlines);
-                };
-                let left = wait.as_millis().to_string();
-                let opts = [("class", offer.class.as_str()), ("key", &offer.key), ("left", &left)];
-                let start = line("START", &offer.id, &opts, None, Some(&offer.description));
-                let sent = Sent { tag: offer.id.clone(), exchange, link: token, at: cx.now };
-                self.by_tag.insert((exchange, offer.id.clone()), attempt);
-                self.attempts.insert(attempt, sent);
-                if let Some(link) = self.links.get_mut(token) {
-                    link.open.push(attempt);
-                }
-                self.send(token, &start);
+                let until = cx.now + wait;
+                self.start(attempt, exchange, offer, (cx.now, until), 0, cx);
             }
             Command::GiveUp(attempt) => {
                 let Some(sent) = self.forget(attempt) else {
                     return;
                 };
-                self.send(sent.link, &line("FINISH", &sent.tag, &[], Some(16), None));
-                // Nothing heard since the set-up: the machine may have vanished, and its connection would
+                self.send(sent.link, &line("FINISH", &sent.offer.id, &[], Some(16), None));
+                // Nothing heard since the set-up: the machine may have vanished, and its connections would
                 // stay open and silent. The next set-up goes on a new one.
-                let silent = cx.now >= sent.at + SILENT
-                    && self.links.get(sent.link).is_some_and(|l| l.last_heard < sent.at);
-                if silent && self.peers.get(&sent.exchange).is_some_and(|p| p.current == Some(sent.link))
-                {
+                let unheard = |l: &Link| l.last_heard < sent.at;
+                if cx.now >= sent.at + SILENT && self.links.get(sent.link).is_some_and(unheard) {
                     let name = cx.engine.name(sent.exchange);
                     cx.log.line(cx.now, "exchange-silent", format_args!("{name}: next set-up redials"));
-                    self.retire(sent.exchange, cx);
-                    self.dial(sent.exchange, cx);
+                    let links = self.peers.get(&sent.exchange).map_or(Vec::new(), |p| p.links.clone());
+                    for token in links {
+                        if self.links.get(token).is_some_and(unheard) {
+                            self.retire(token, cx);
+                        }
+                    }
+                    self.refill(sent.exchange, cx);
                 }
                 self.close_if_done(sent.link, cx);
             }
@@ -225,9 +316,22 @@
                     return;
                 };
                 let rc = if cause == Cause::Normal { 16 } else { 41 };
-                let own = self.links.get(sent.link).filter(|l| l.conn.is_up()).map(|_| sent.link);
-                if let Some(token) = own.or_else(|| self.dial(sent.exchange, cx)) {
-                    self.send(token, &line("FINISH", &sent.tag, &[], Some(rc), None));
+                let release = line("FINISH", &sent.offer.id, &[], Some(rc), None);
+                let is_up = |t: &Token| self.links.get(*t).is_some_and(|l| l.conn.is_up());
+                let on = Some(sent.link).filter(is_up);
+                let on = on.or_else(|| {
+                    self.pick(sent.exchange, cx)
+                        .filter(|t| self.links.get(*t).is_some_and(|l| l.conn.is_up()))
+                });
+                match on {
+                    Some(token) => self.send(token, &release),
+                    None => {
+                        if let Some(peer) = self.peers.get_mut(&sent.exchange) {
+                            if peer.unsent.len() < MOST_UNSENT {
+                                peer.unsent.push((cx.now + RELEASE_KEPT, release));
+                            }
+                        }
+                    }
                 }
             }
             Command::Forget(attempt) => drop(self.forget(attempt)),
@@ -235,11 +339,34 @@
         }
     }
 
+    /// Sends a set-up, for the first time or again because it never left.
+    fn start(
+        &mut self,
+        attempt: AttemptToken,
+        exchange: ExchangeId,
+        offer: Rc<Offer>,
+        (at, until): (Duration, Duration),
+        moves: u32,
+        cx: &mut Context,
+    ) {
+        let Some(token) = self.pick(exchange, cx) else {
+            return cx.engine.attempt_ended(cx.now, attempt, End::NoSocket, cx.deadlines);
+        };
+        let bytes = set_up(&offer, until.saturating_sub(cx.now));
+        self.by_tag.insert((exchange, offer.id.clone()), attempt);
+        let end_at = self.links.get(token).map_or(0, |l| l.conn.sent()) + bytes.len() as u64;
+        self.attempts.insert(attempt, Sent { offer, exchange, link: token, at, until, end_at, moves });
+        if let Some(link) = self.links.get_mut(token) {
+            link.open.push(attempt);
+        }
+        self.send(token, &bytes);
+    }
+
     /// Forgets an attempt that is over.
     fn forget(&mut self, attempt: AttemptToken) -> Option<Sent> {
         let sent = self.attempts.remove(&attempt)?;
         // The call may have gone to the same exchange again since.
-        let key = (sent.exchange, sent.tag.clone());
+        let key = (sent.exchange, sent.offer.id.clone());
         if self.by_tag.get(&key) == Some(&attempt) {
             self.by_tag.remove(&key);
         }
@@ -268,8 +395,20 @@
         }
     }
 
+    /// Whether a connection has more to read than its last turn allowed.
+    pub fn has_unread(&self) -> bool {
+        !self.unread.is_empty()
+    }
+
+    /// Reads on where the last turn left off.
+    pub fn read_on(&mut self, cx: &mut Context) {
+        for token in std::mem::take(&mut self.unread) {
+            self.ready(token, cx);
+        }
+    }
+
     fn read(&mut self, token: Token, cx: &mut Context) -> Result<(), End> {
-        loop {
+        for _ in 0..READS {
             let Some(link) = self.links.get_mut(token) else {
                 return Ok(());
             };
@@ -277,26 +416,71 @@
                 if !link.conn.check_up()? {
                     return Ok(());
                 }
-                let exchange = link.exchange;
-                if let Some(peer) = self.peers.get_mut(&exchange) {
-                    peer.redial = REDIAL;
-                }
-                cx.engine.reachable(cx.now, exchange, None, cx.deadlines);
+                self.came_up(token, cx);
             }
+            let Some(link) = self.links.get_mut(token) else {
+                return Ok(());
+            };
             link.conn.flush()?;
             let read = link.conn.fill();
             if matches!(read, Ok(n) if n > 0) {
                 link.last_heard = cx.now;
             }
             while let Some(text) = self.links.get_mut(token).map_or(Ok(None), |l| l.conn.line())? {
+                if let Some(link) = self.links.get_mut(token) {
+                    link.part_since = None;
+                }
                 if !text.is_empty() {
                     self.message(token, Message::parse(&text)?, cx)?;
                 }
             }
+            if let Some(link) = self.links.get_mut(token).filter(|l| l.conn.has_part()) {
+                if link.part_since.is_none() {
+                    link.part_since = Some(cx.now);
+                    cx.deadlines.set(cx.now + STOPPED_SHORT, Due::Part(token));
+                }
+            }
             if read? == 0 {
                 return Ok(());
             }
         }
+        self.unread.push(token);
+        Ok(())
+    }
+
+    /// A connection has come up: what waited for one goes out, and more are dialled beside it.
+    fn came_up(&mut self, token: Token, cx: &mut Context) {
+        let Some(exchange) = self.links.get(token).map(|l| l.exchange) else {
+            return;
+        };
+        if let Some(peer) = self.peers.get_mut(&exchange) {
+            peer.redial = REDIAL;
+            for (until, release) in std::mem::take(&mut peer.unsent) {
+                if until > cx.now {
+                    self.send(token, &release);
+                }
+            }
+        }
+        cx.engine.reachable(cx.now, exchange, None, cx.deadlines);
+        self.refill(exchange, cx);
+    }
+
+    /// One connection has brought the state of the group. Another to the same exchange that has brought none
+    /// for several of these is open and silent: what is on it would wait in vain.
+    fn reported(&mut self, token: Token, exchange: ExchangeId, now: Duration) {
+        let held = self.links.iter().filter(|(_, l)| l.exchange == exchange).count();
+        let Some(peer) = self.peers.get(&exchange).filter(|_| held <= REPORTED_ON) else {
+            return;
+        };
+        for other in &peer.links {
+            let Some(link) = self.links.get_mut(*other).filter(|l| l.heard) else {
+                continue;
+            };
+            link.missed = if *other == token { 0 } else { link.missed + 1 };
+            if link.missed >= MISSED * (held as u32 - 1) && now >= link.last_heard + MISSED_FOR {
+                self.doomed.push((*other, End::Silent));
+            }
+        }
     }
 
     fn message(&mut self, token: Token, message: Message, cx: &mut Context) -> Result<(), End> {
@@ -304,6 +488,12 @@
             return Ok(());
         };
         let exchange = link.exchange;
+        if let Some(link) = self.links.get_mut(token) {
+            link.heard = true;
+        }
+        if message.verb == "LOAD" {
+            self.reported(token, exchange, cx.now);
+        }
         let attempt = self.by_tag.get(&(exchange, message.tag.clone())).copied();
         let load = message.opt("load");
         if !load.is_empty() {
@@ -314,14 +504,16 @@
         }
         match (message.verb.as_str(), attempt) {
             ("STARTED", Some(attempt)) => {
+                // An answer without its description is cut short.
+                let description = message.blob.ok_or(End::Garbage)?;
                 if let Some(sent) = self.attempts.get(&attempt) {
                     self.no_longer_open(sent.link, attempt);
                 }
-                let description = message.blob.unwrap_or_default();
                 if !cx.engine.answered(cx.now, attempt, description, cx.deadlines) {
                     cx.log.line(cx.now, "answer-twice", &message.tag);
                 }
             }
+            ("FINISH", _) if message.rc.is_none() => return Err(End::Garbage),
             ("FINISH", Some(attempt)) => {
                 let end = end_of(message.rc, message.opt("note"), cx.engine.stands(attempt));
                 self.forget(attempt);
@@ -349,31 +541,40 @@
         };
         let _ = cx.registry.deregister(&mut link.conn.stream);
         let exchange = link.exchange;
-        let was_current = match self.peers.get_mut(&exchange) {
-            Some(peer) if peer.current == Some(token) => {
-                peer.current = None;
-                true
-            }
-            _ => false,
-        };
+        let mut was_listed = false;
+        if let Some(peer) = self.peers.get_mut(&exchange) {
+            was_listed = peer.links.contains(&token);
+            peer.links.retain(|t| *t != token);
+        }
         if end != End::ClosedHere {
-            let name = cx.engine.name(exchange);
-            cx.log.line(
-                cx.now,
-                "exchange-ended",
-                format_args!("{name}: {end}, {} open", link.open.len()),
-            );
+            let (name, open) = (cx.engine.name(exchange), link.open.len());
+            cx.log.line(cx.now, "exchange-ended", format_args!("{name}: {end}, {open} open"));
         }
-        for attempt in link.open {
-            self.forget(attempt);
-            cx.engine.attempt_ended(cx.now, attempt, end, cx.deadlines);
+        // A connection that could not be made says something of the exchange only where none is up.
+        let unreachable = !link.conn.is_up() && was_listed && self.up(exchange) == 0;
+        if unreachable {
+            cx.engine.reachable(cx.now, exchange, Some(end), cx.deadlines);
         }
-        if was_current {
-            if !link.conn.is_up() {
-                cx.engine.reachable(cx.now, exchange, Some(end), cx.deadlines);
+        if was_listed {
+            if unreachable || !link.heard {
                 self.redial(exchange, cx);
-            } else if self.peers.get(&exchange).is_some_and(|p| p.phase != Phase::Gone) {
-                self.dial(exchange, cx);
+            } else {
+                self.refill(exchange, cx);
+            }
+        }
+        for attempt in link.open {
+            let Some(sent) = self.forget(attempt) else {
+                continue;
+            };
+            // What was not written whole has not run: it goes on another connection, if there may be one.
+            let left = !unreachable && sent.moves < MOVES && !link.conn.has_written(sent.end_at);
+            if left && self.peers.contains_key(&exchange) && cx.now < sent.until {
+                let times = (sent.at, sent.until);
+                self.start(attempt, exchange, sent.offer, times, sent.moves + 1, cx);
+            } else {
+                let unsent = link.conn.is_up() && !link.conn.has_written(sent.end_at);
+                let end = if unsent { End::NeverUp } else { end };
+                cx.engine.attempt_ended(cx.now, attempt, end, cx.deadlines);
             }
         }
     }
--- a/node/src/net/journal.rs
+++ b/node/src/net/journal.rs
@@ -3,7 +3,7 @@
 use super::conn::Conn;
 use super::lines::json;
 use super::{Context, Due, Kind};
-use crate::config::{news, News};
+use crate::config::{news, Limits, News};
 use crate::end::End;
 use crate::slots::Token;
 use mio::net::TcpStream;
@@ -16,12 +16,11 @@
 const SILENT: Duration = Duration::from_millis(2500);
 /// Wait before dialling again after a dial that failed.
 const AGAIN: Duration = Duration::from_millis(150);
-/// Most bytes of one event: a whole list is longer than a message.
-const LIMIT: usize = 1024 * 1024;
 
 /// The connection to the journal service.
 pub struct Journal {
     addr: SocketAddr,
+    limits: Limits,
     /// The last event that was taken in.
     position: u64,
     conn: Option<Conn>,
@@ -32,8 +31,8 @@
 
 impl Journal {
     /// A journal that knows all events up to a number.
-    pub fn new(addr: SocketAddr, position: u64) -> Self {
-        Journal { addr, position, conn: None, turn: 0, last_heard: Duration::ZERO }
+    pub fn new(addr: SocketAddr, position: u64, limits: Limits) -> Self {
+        Journal { addr, limits, position, conn: None, turn: 0, last_heard: Duration::ZERO }
     }
 
     /// The configuration was read again. At another address the numbers go on: the stream there begins after
@@ -57,7 +56,7 @@
         let dialled = TcpStream::connect(self.addr).and_then(|mut stream| {
             let token = Kind::Journal.token(Token::from_bits(self.turn));
             cx.registry.register(&mut stream, token, Interest::READABLE | Interest::WRITABLE)?;
-            Ok(Conn::new(stream, LIMIT, false))
+            Ok(Conn::new(stream, self.limits.journal_bounds(), false))
         });
         match dialled {
             Ok(mut conn) => {
--- a/node/src/net/lines.rs
+++ b/node/src/net/lines.rs
@@ -72,6 +72,11 @@
     }
 }
 
+/// Whether a text is an id or a number called: 16 hex digits.
+pub fn is_hex(text: &str) -> bool {
+    text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit())
+}
+
 /// The value of a name in a list such as `x0:12;x1:40`.
 pub fn figure(list: &str, name: &str) -> Option<f64> {
     let mut pairs = list.split(';').filter_map(|p| p.split_once(':'));
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -82,6 +82,8 @@
     Accept,
     /// A connection to an exchange should be up.
     Dial(Token),
+    /// A message of an exchange should have got whole.
+    Part(Token),
     /// An exchange is to be dialled again.
     Redial(ExchangeId),
     /// The journal service is to be dialled again.
@@ -163,11 +165,11 @@
     };
     let mut engine = Engine::new(config.settings.clone(), config.seed).map_err(io::Error::other)?;
     let (mut deadlines, mut log) = (Deadlines::default(), Log::new(&config.name));
-    let mut clients = Clients::new(listener, config.sockets / 2);
-    let mut exchanges = Exchanges::default();
-    let mut journal = Journal::new(config.journal, config.position);
+    let mut clients = Clients::new(listener, config.limits);
+    let mut exchanges = Exchanges::new(config.limits);
+    let mut journal = Journal::new(config.journal, config.position, config.limits);
     let mut sip = match config.sip.clone() {
-        Some(sip) => Some(Sip::new(sip, config.seed, config.sockets / 4, &registry)?),
+        Some(sip) => Some(Sip::new(sip, config.seed, config.limits, &registry)?),
         None => None,
     };
     let mut stop_at = None;
@@ -194,6 +196,8 @@
                 cx.log.line(now, "sip-started", format_args!("listening on {}", sip.listens()));
             }
         }
+        exchanges.read_on(&mut cx);
+        sip.iter_mut().for_each(|s| s.read_on(&mut cx));
         for event in &events {
             match Kind::split(event.token()) {
                 (Some(Kind::Listener), _) => clients.accept(&mut cx),
@@ -239,12 +243,14 @@
             if change.whole {
                 exchanges.keep_only(&named, &mut cx);
             }
+            cx.engine.forget_gone();
             cx.log.line(now, "list", format_args!("event {}, {} lines", change.position, lines.len()));
         }
         while let Some(due) = cx.deadlines.pop(now) {
             match due {
                 Due::Engine(wake) => cx.engine.wake(now, wake, cx.deadlines),
                 Due::Accept => clients.accept(&mut cx),
+                Due::Part(token) => exchanges.part_due(token, &mut cx),
                 Due::Dial(token) => exchanges.dial_due(token, &mut cx),
                 Due::Redial(exchange) => exchanges.redial_due(exchange, &mut cx),
                 Due::JournalAgain(turn) => journal.again_due(turn, &mut cx),
@@ -298,6 +304,9 @@
         let wait = deadlines.next().map(|at| at.saturating_sub(clock.now()));
         // Rounded up, since a poll that ends early would only spin.
         let wait = wait.map(|w| w + Duration::from_micros(999)).map(|w| w.min(Duration::from_secs(1)));
+        // Who has more to say than a turn allows goes on once the others have been heard.
+        let unread = exchanges.has_unread() || sip.as_ref().is_some_and(Sip::has_unread);
+        let wait = if unread { Some(Duration::ZERO) } else { wait };
         match poll.poll(&mut events, wait) {
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
             other => other?,
--- a/node/src/net/sip/mod.rs
+++ b/node/src/net/sip/mod.rs
@@ -7,7 +7,7 @@
 pub mod transport;
 
 use super::{Context, Due};
-use crate::config::{SipConfig, SipNumber};
+use crate::config::{Limits, SipConfig, SipNumber};
 use crate::end::End;
 use crate::engine::{AttemptToken, CallToken, Command, Incoming, Offer};
 use crate::slots::{Slots, Token};
@@ -25,6 +25,8 @@
 
 /// Longest wait that an exchange is believed to have: beyond it, it would stay shut by one wrong header.
 const MOST_TOLD: Duration = Duration::from_secs(32);
+/// Datagrams taken in one turn.
+const DATAGRAMS: usize = 64;
 const ALLOW: &str = "INVITE, ACK, CANCEL, BYE, OPTIONS";
 
 /// What the SIP front waits for.
@@ -90,13 +92,20 @@
     /// The leg of an INVITE's transaction.
     by_invite: HashMap<Token, Token>,
     output: Vec<Output>,
+    /// More datagrams have come than one turn allows.
+    more_datagrams: bool,
     random: u64,
 }
 
 impl Sip {
     /// Binds the front's sockets.
-    pub fn new(config: SipConfig, seed: u64, most: usize, registry: &mio::Registry) -> io::Result<Self> {
-        let transport = Transport::bind(config.udp, config.tcp, most, registry)?;
+    pub fn new(
+        config: SipConfig,
+        seed: u64,
+        limits: Limits,
+        registry: &mio::Registry,
+    ) -> io::Result<Self> {
+        let transport = Transport::bind(config.udp, config.tcp, limits, registry)?;
         Ok(Sip {
             transactions: Transactions::new(config.times),
             config,
@@ -107,6 +116,7 @@
             by_dialog: HashMap::new(),
             by_invite: HashMap::new(),
             output: Vec::new(),
+            more_datagrams: false,
             random: seed,
         })
     }
@@ -183,9 +193,28 @@
 
     /// Datagrams have come.
     pub fn datagrams(&mut self, cx: &mut Context) {
-        while let Some((bytes, addr)) = self.transport.datagram() {
+        for _ in 0..DATAGRAMS {
+            let Some((bytes, addr)) = self.transport.datagram() else {
+                return;
+            };
             self.message(&bytes, Target { protocol: Protocol::Udp, addr, conn: None }, cx);
         }
+        self.more_datagrams = true;
+    }
+
+    /// Whether more has come than one turn allows.
+    pub fn has_unread(&self) -> bool {
+        self.more_datagrams || self.transport.has_unread()
+    }
+
+    /// Reads on where the last turn left off.
+    pub fn read_on(&mut self, cx: &mut Context) {
+        if std::mem::take(&mut self.more_datagrams) {
+            self.datagrams(cx);
+        }
+        for token in self.transport.unread() {
+            self.stream(token, cx);
+        }
     }
 
     /// Streams wait to be accepted.
--- a/node/src/net/sip/transport.rs
+++ b/node/src/net/sip/transport.rs
@@ -2,6 +2,7 @@
 
 use super::message;
 use super::transaction::{Protocol, Target};
+use crate::config::Limits;
 use crate::end::End;
 use crate::net::conn::Conn;
 use crate::net::{Context, Due, Kind};
@@ -14,6 +15,8 @@
 
 /// A stream on which nothing has come for this long is closed.
 const IDLE: Duration = Duration::from_secs(180);
+/// Reads of a stream in one turn. What is left is read in the next, after all others have had theirs.
+const READS: usize = 4;
 /// Wait before accepting again when there is no descriptor.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
@@ -28,11 +31,12 @@
     udp: Option<UdpSocket>,
     tcp: Option<TcpListener>,
     streams: Slots<Stream>,
-    /// Streams that are held at most.
-    most: usize,
+    limits: Limits,
     buffer: Vec<u8>,
     /// Streams that broke while something was sent.
     doomed: Vec<(Token, End)>,
+    /// Streams that had more to read than one turn allows.
+    unread: Vec<Token>,
 }
 
 impl Transport {
@@ -40,7 +44,7 @@
     pub fn bind(
         udp: Option<SocketAddr>,
         tcp: Option<SocketAddr>,
-        most: usize,
+        limits: Limits,
         registry: &mio::Registry,
     ) -> io::Result<Self> {
         let none = Token::from_bits(0);
@@ -52,8 +56,9 @@
         if let Some(listener) = &mut tcp {
             registry.register(listener, Kind::SipListener.token(none), Interest::READABLE)?;
         }
-        let (streams, doomed) = (Slots::default(), Vec::new());
-        Ok(Transport { udp, tcp, streams, most, buffer: vec![0; message::LIMIT + 1], doomed })
+        let (streams, doomed, unread) = (Slots::default(), Vec::new(), Vec::new());
+        let buffer = vec![0; message::LIMIT + 1];
+        Ok(Transport { udp, tcp, streams, limits, buffer, doomed, unread })
     }
 
     /// The own address of a transport.
@@ -100,8 +105,8 @@
     }
 
     fn add(&mut self, mut s: TcpStream, peer: SocketAddr, up: bool, cx: &mut Context) -> Option<Token> {
-        let (now, registry) = (cx.now, cx.registry);
-        if self.streams.len() >= self.most {
+        let (now, registry, bounds) = (cx.now, cx.registry, self.limits.sip_bounds());
+        if self.streams.len() >= self.limits.sip_streams() {
             cx.log.line(now, "sip-too-many-streams", format_args!("{peer} is turned away"));
             return None;
         }
@@ -109,7 +114,7 @@
         let token = self.streams.insert_with(|token| {
             let both = Interest::READABLE | Interest::WRITABLE;
             registered = registry.register(&mut s, Kind::SipStream.token(token), both);
-            Stream { conn: Conn::new(s, message::LIMIT, up), peer, last_heard: now }
+            Stream { conn: Conn::new(s, bounds, up), peer, last_heard: now }
         });
         if registered.is_err() {
             self.streams.remove(token);
@@ -140,7 +145,13 @@
         let Some(stream) = self.streams.get_mut(token) else {
             return (messages, None);
         };
+        let mut reads = 0;
         let end = loop {
+            reads += 1;
+            if reads > READS {
+                self.unread.push(token);
+                break None;
+            }
             match stream.conn.check_up() {
                 Ok(true) => {}
                 Ok(false) => break None,
@@ -167,6 +178,16 @@
         (messages, end)
     }
 
+    /// Whether a stream has more to read than its last turn allowed.
+    pub fn has_unread(&self) -> bool {
+        !self.unread.is_empty()
+    }
+
+    /// The streams that had more to read than their last turn allowed.
+    pub fn unread(&mut self) -> Vec<Token> {
+        std::mem::take(&mut self.unread)
+    }
+
     /// The peer of a stream.
     pub fn peer(&self, token: Token) -> Option<SocketAddr> {
         self.streams.get(token).map(|s| s.peer)
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -27,14 +27,19 @@
 /// Three exchanges, one class, callers who are told to stay away 2 s at most.
 pub const SETTINGS: &str = r#"{"allowed":{"dial_timeout_ms":500.0,"max_retry_after_ms":2000.0,"retry_after":true,"try_limit":5},"discovery":"pushed","over_share_worth":0.1,"position":0,"report":{"fields":["spare","total"],"how":"piggyback"},"rules":{"cold_from":0.35,"cold_ms":14000.0,"drain_grace_ms":500.0,"fall_ms":1000.0,"fall_multiple":4.0},"services":[{"deadline_ms":9000.0,"group":"all","late_worth":0.25,"name":"voice","points":1.0,"promise_ms":1500.0,"semantics":"pure","window_ms":5000.0}],"siblings":3,"specifics":{"allowed_pools":[],"clear_wait_ms":500.0,"here":0,"layout":"meshed","mean_hold_ms":[11100.0],"resend_ms":0.0},"tenants":[],"tick_ms":5.0,"zones":["east"]}"#;
 
-/// The configuration; `edit` may spoil it.
+/// The configuration. Its descriptors leave one connection to each exchange; see `wide` for four.
 pub fn config(journal: SocketAddr, servers: &[String]) -> String {
     let known = event(1, true, servers);
     format!(
-        r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"journal":"{journal}","known":{{"pos":1,"entries":[{known}]}},"settings":{SETTINGS}}}"#
+        r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":32,"sockets":127}},"journal":"{journal}","known":{{"pos":1,"entries":[{known}]}},"settings":{SETTINGS}}}"#
     )
 }
 
+/// A configuration with descriptors for four connections to each exchange.
+pub fn wide(config: &str) -> String {
+    config.replace(r#""sockets":127"#, r#""sockets":1024"#)
+}
+
 /// The program, ended with the test.
 pub struct Node {
     child: Child,
@@ -189,11 +194,16 @@
 
     /// Whether nothing comes for a while.
     pub fn silent(&mut self, time: Duration) -> bool {
+        self.within(time).is_none()
+    }
+
+    /// The next line, if one comes within a time.
+    pub fn within(&mut self, time: Duration) -> Option<String> {
         self.stream.set_read_timeout(Some(time)).expect("a time-out");
         let mut line = String::new();
-        let silent = self.reader.read_line(&mut line).is_err();
+        let heard = self.reader.read_line(&mut line).is_ok();
         self.stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-        silent
+        heard.then(|| line.trim_end().to_owned())
     }
 
     pub fn start(&mut self, tag: &str, left: u32, dest: u32) {
--- a/node/tests/engine.rs
+++ b/node/tests/engine.rs
@@ -197,3 +197,44 @@
     assert!(matches!(world.commands()[..], [Command::GiveUp(_), Command::Refuse(c, _)] if c == call));
     assert_eq!((world.engine.owed(), world.engine.name(one)), (0, "s-1"));
 }
+
+/// Guards against memory that grows with every exchange that is replaced for good.
+#[test]
+fn exchanges_that_are_gone_are_forgotten_once_nothing_is_out_there() {
+    let mut world = World::new();
+    let (attempt, _) = {
+        world.call(3000);
+        world.set_up()
+    };
+    world.list(&[(1, Phase::Gone)], false, ms(0));
+    world.engine.forget_gone();
+    assert_eq!(world.engine.known(), 3, "one is out there");
+    world.ended(attempt, End::Closed);
+    for n in 10..200 {
+        world.list(&[(n, Phase::InService)], false, ms(0));
+        assert!(world.engine.exchange(&format!("s-{n}")).is_some());
+        world.list(&[(n, Phase::Gone)], false, ms(0));
+        world.engine.forget_gone();
+    }
+    assert_eq!(world.engine.known(), 2);
+    world.list(&[(0, Phase::InService)], true, ms(0));
+    world.engine.forget_gone();
+    assert_eq!(world.engine.known(), 1, "a whole list names all there are");
+}
+
+/// Guards against calls that are cut although they stand, since a new connection was reset: only one refused
+/// proves that the process is down.
+#[test]
+fn only_a_refused_connection_cuts_what_stands() {
+    for (end, cut) in [(End::NeverUp, false), (End::DialTimedOut, false), (End::Refused, true)] {
+        let mut world = World::new();
+        let call = world.call(3000);
+        let (attempt, exchange) = world.set_up();
+        assert!(world.answered(attempt));
+        world.commands();
+        world.engine.reachable(world.now, exchange, Some(end), &mut world.deadlines);
+        world.pass(100);
+        let released = world.commands().contains(&Command::ReleaseCaller(call, Cause::Cut));
+        assert_eq!(released, cut, "{end}");
+    }
+}
--- a/node/tests/lines.rs
+++ b/node/tests/lines.rs
@@ -117,6 +117,82 @@
     assert_eq!(link.hear_start(), TAG);
 }
 
+/// The program with four connections to one exchange besides its own.
+fn wide_world() -> (Node, Vec<Lines>, JournalPeer, TcpListener) {
+    let (exchange, addr) = listener();
+    let journal = JournalPeer::new();
+    let servers = [server("s-own", 0, "in_service", addr), server("s-one", 1, "in_service", addr)];
+    let node = Node::start(&wide(&config(journal.addr, &servers)), None);
+    let mut links: Vec<_> = (0..4).map(|_| Lines::accept(&exchange)).collect();
+    links.iter_mut().for_each(|link| link.say(LOAD));
+    (node, links, journal, exchange)
+}
+
+const LOAD: &str = r#"{"verb":"LOAD","tag":"","opts":{"load":"spare:9;total:9"}}"#;
+
+/// The connection that a set-up has come on, and the set-up's tag.
+fn heard_on(links: &mut [Lines]) -> (usize, String) {
+    let begun = Instant::now();
+    while begun.elapsed() < PATIENCE {
+        for (i, link) in links.iter_mut().enumerate() {
+            if let Some(line) = link.within(Duration::from_millis(20)) {
+                assert!(line.contains(r#""verb":"START""#), "{line}");
+                return (i, line.split(r#""tag":""#).nth(1).expect("a tag")[..16].to_owned());
+            }
+        }
+    }
+    panic!("no set-up")
+}
+
+/// Guards against a spoilt answer that is passed on, that costs the set-ups on other connections, or whose call
+/// is given up though it may be repeated; each way of spoiling one ends its connection at once.
+#[test]
+fn a_spoilt_answer_costs_its_connection_and_its_call_is_sent_again() {
+    let half = format!(r#"{{"verb":"STARTED","tag":"{TAG}","opts":{{}},"blo"#);
+    let cut_short = format!("{{\"verb\":\"STARTED\",\"tag\":\"{TAG}\",\"opts\":{{}}}}\n");
+    for spoilt in [&b"\x00\xff noise\n"[..], &[b'x'; 20_000], half.as_bytes(), cut_short.as_bytes()] {
+        let (mut node, mut links, _journal, _exchange) = wide_world();
+        let mut client = node.client();
+        client.start(TAG, 3000, 1);
+        let (bad, tag) = heard_on(&mut links);
+        assert_eq!(tag, TAG);
+        client.start("00000000000000aa", 3000, 1);
+        let (good, tag) = heard_on(&mut links);
+        assert_ne!(good, bad, "a connection of its own");
+        let begun = Instant::now();
+        links[bad].raw(spoilt);
+        assert_eq!(links[bad].hear(), "", "closed");
+        links[good].say(&format!(r#"{{"verb":"STARTED","tag":"{tag}","opts":{{}},"blob":"b"}}"#));
+        assert!(client.hear().contains(&tag));
+        links.remove(bad);
+        let (again, tag) = heard_on(&mut links);
+        assert_eq!(tag, TAG);
+        assert!(begun.elapsed() >= Duration::from_millis(500), "within the wait for release");
+        links[again].say(&format!(r#"{{"verb":"STARTED","tag":"{TAG}","opts":{{}},"blob":"b"}}"#));
+        assert!(client.hear().contains(TAG));
+    }
+}
+
+/// Guards against set-ups that wait for their time-out on a connection that has gone silent while it is open,
+/// though the exchange speaks on the others.
+#[test]
+fn a_connection_that_misses_what_the_others_bring_is_given_up() {
+    let (mut node, mut links, _journal, _exchange) = wide_world();
+    let mut client = node.client();
+    client.start(TAG, 3000, 1);
+    let (silent, _) = heard_on(&mut links);
+    let begun = Instant::now();
+    let mut silent = links.remove(silent);
+    while begun.elapsed() < Duration::from_millis(400) {
+        links.iter_mut().for_each(|link| link.say(LOAD));
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(silent.hear(), "", "closed");
+    let (again, _) = heard_on(&mut links);
+    links[again].say(&format!(r#"{{"verb":"STARTED","tag":"{TAG}","opts":{{}},"blob":"b"}}"#));
+    assert!(client.hear().contains("STARTED"));
+}
+
 /// Guards against running out of descriptors: idle clients make way, and the program goes on.
 #[test]
 fn without_descriptors_idle_clients_make_way() {
