Close on clients that say nothing whole, and keep the connections that have a call's end to hear

At fault in net/clients.rs: make_way counted only owed answers as a reason to keep a connection, so under a crowd the caller's own went and its release to 'any' other, a silent stranger's (way_back); a second set-up under an id was passed over without a word; nothing was ever closed for silence; an id was taken as it came, even none; figures were cut to whole numbers and sent on. Ruled out: the engine, which has each of these releases in its commands, and lost connections of callers (12 from clients, none ended).

Now connections make way in the order: never answered, calls over, a call that stands; a client without an answer after 2 s, or with half a message for 2 s, is closed on; a set-up under the id of an open call costs its connection; ids and keys are 16 hex digits, figures whole and in range, a description is there; calls owed, releases kept and reads in a turn are bounded; without room nothing is accepted for 20 ms, by one timer.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -45,7 +45,7 @@
         self.sockets / 2
     }
 
-    /// Connections of clients beyond which new ones are closed, should none be idle.
+    /// Connections of clients beyond which new ones wait, should none be idle.
     pub fn most_clients(&self) -> usize {
         self.sockets * 5 / 8
     }
--- a/node/src/net/clients.rs
+++ b/node/src/net/clients.rs
@@ -1,7 +1,7 @@
 //! The callers' side of the platform's wire.
 
 use super::conn::Conn;
-use super::lines::{figure, line, Message};
+use super::lines::{figure, is_hex, line, Message};
 use super::{Context, Due, Kind};
 use crate::config::{Limits, Words};
 use crate::end::End;
@@ -25,14 +25,35 @@
 const MAY_CROSS: Duration = Duration::from_secs(1);
 /// How long a release waits for a connection to go out on.
 const RELEASE_KEPT: Duration = Duration::from_secs(30);
-/// Wait before accepting again when there is no descriptor.
+/// Wait before accepting again when there is no room.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+/// A client that has been given no answer within this time of connecting, and is owed none, is closed on; so is
+/// one whose message has begun and is not whole by then.
+const SAY_WITHIN: Duration = Duration::from_secs(2);
+/// Wait before looking again at one that is still owed its first answer.
+const LOOK_AGAIN: Duration = Duration::from_millis(200);
+/// Reads of a connection in one turn. What is left is read in the next, after all others have had theirs.
+const READS: usize = 4;
+/// A caller waits no longer than its class's deadline; this is for clocks and rounding.
+const LEFT_SLACK: Duration = Duration::from_millis(100);
+/// Numbers of exchanges and of circuits are below this.
+const MOST_FIGURE: f64 = 65_535.0;
+/// Releases that wait for a connection at most.
+const MOST_UNSENT: usize = 4096;
 
 struct Client {
     conn: Conn,
     peer: IpAddr,
     /// Set-ups on it whose answer is owed.
     open: usize,
+    /// Calls of it that stand: their end is told here.
+    standing: usize,
+    /// It has been given an answer, to a set-up or a test.
+    answered: bool,
+    /// Since when its next message has been awaited or unfinished; none between messages.
+    awaited: Option<Duration>,
+    /// A deadline is set for that.
+    watched: bool,
     last_heard: Duration,
     /// Releases sent on it lately: a close that they cross loses them.
     released: Vec<(Duration, Vec<u8>)>,
@@ -43,6 +64,7 @@
     conn: Token,
     peer: IpAddr,
     owed: bool,
+    stands: bool,
 }
 
 /// All client connections and the calls that came on them.
@@ -51,10 +73,16 @@
     limits: Limits,
     conns: Slots<Client>,
     calls: HashMap<CallToken, Known>,
+    /// Calls whose answer is owed.
+    owed: usize,
     by_tag: HashMap<String, CallToken>,
-    /// Releases that found no connection.
-    unsent: VecDeque<(Duration, Vec<u8>)>,
+    /// Releases that found no connection, with the host that they are for.
+    unsent: VecDeque<(Duration, IpAddr, Vec<u8>)>,
     doomed: Vec<(Token, End)>,
+    /// Connections that had more to read than one turn allows.
+    unread: Vec<Token>,
+    /// There is no room, so nothing is accepted for a moment.
+    paused: bool,
 }
 
 impl Clients {
@@ -65,9 +93,12 @@
             limits,
             conns: Slots::default(),
             calls: HashMap::new(),
+            owed: 0,
             by_tag: HashMap::new(),
             unsent: VecDeque::new(),
             doomed: Vec::new(),
+            unread: Vec::new(),
+            paused: false,
         }
     }
 
@@ -81,36 +112,57 @@
         self.conns.iter().all(|(_, c)| c.conn.is_flushed())
     }
 
-    /// Accepts all that wait.
+    /// Accepts all that wait, as far as there is room. The rest wait on for a moment.
     pub fn accept(&mut self, cx: &mut Context) {
+        if self.paused {
+            return;
+        }
         loop {
+            let held = self.conns.len();
+            let stuck = held >= self.limits.clients() && !self.make_way(cx);
+            if stuck && held >= self.limits.most_clients() {
+                cx.log.line(cx.now, "accept-paused", format_args!("{held} clients"));
+                return self.pause(cx);
+            }
             match self.listener.accept() {
-                Ok((stream, peer)) => {
-                    if self.conns.len() >= self.limits.clients() {
-                        self.make_way(cx);
-                    }
-                    self.add(stream, peer.ip(), cx)
-                }
+                Ok((stream, peer)) => self.add(stream, peer.ip(), cx),
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::ConnectionAborted => {}
                 Err(e) => {
                     // No descriptor or no memory.
                     cx.log.line(cx.now, "accept-failed", e);
-                    self.make_way(cx);
-                    cx.deadlines.set(cx.now + ACCEPT_AGAIN, Due::Accept);
-                    return;
+                    if !self.make_way(cx) {
+                        return self.pause(cx);
+                    }
                 }
             }
         }
     }
 
-    /// Closes the connection that has been idle for longest.
-    fn make_way(&mut self, cx: &mut Context) {
-        let idle = self.conns.iter().filter(|(_, c)| c.open == 0);
-        if let Some((token, _)) = idle.min_by_key(|(_, c)| c.last_heard) {
-            self.end(token, End::ClosedHere, cx);
-        }
+    /// The pause is over.
+    pub fn accept_due(&mut self, cx: &mut Context) {
+        self.paused = false;
+        self.accept(cx);
+    }
+
+    fn pause(&mut self, cx: &mut Context) {
+        self.paused = true;
+        cx.deadlines.set(cx.now + ACCEPT_AGAIN, Due::Accept);
+    }
+
+    /// Closes a connection that nobody is owed an answer on: first one that never had an answer, then one whose
+    /// calls are all over, then one with calls that stand, and of these the one idle for longest. Those that ask
+    /// once and stay lose their connection before any that still has a release to hear. One that was taken in
+    /// just now has had no chance to speak. False if there is none.
+    fn make_way(&mut self, cx: &mut Context) -> bool {
+        let idle = self.conns.iter().filter(|(_, c)| c.open == 0 && c.last_heard < cx.now);
+        let rank = |c: &Client| (c.answered, c.standing > 0, c.last_heard);
+        let Some(token) = idle.min_by_key(|(_, c)| rank(c)).map(|(token, _)| token) else {
+            return false;
+        };
+        self.end(token, End::ClosedHere, cx);
+        true
     }
 
     fn add(&mut self, mut stream: TcpStream, peer: IpAddr, cx: &mut Context) {
@@ -124,6 +176,10 @@
                 conn: Conn::new(stream, bounds, true),
                 peer,
                 open: 0,
+                standing: 0,
+                answered: false,
+                awaited: Some(now),
+                watched: true,
                 last_heard: now,
                 released: Vec::new(),
             }
@@ -133,9 +189,51 @@
             self.conns.remove(token);
             return;
         }
-        self.unsent.retain(|(until, _)| *until > now);
-        for (_, release) in std::mem::take(&mut self.unsent) {
-            self.release(Some(token), release, now);
+        cx.deadlines.set(now + SAY_WITHIN, Due::Client(token));
+        self.send_kept(token, Some(peer), now);
+    }
+
+    /// Sends the releases that wait for a connection: those for a host, or all.
+    fn send_kept(&mut self, token: Token, host: Option<IpAddr>, now: Duration) {
+        self.unsent.retain(|(until, ..)| *until > now);
+        for (until, peer, release) in std::mem::take(&mut self.unsent) {
+            if host.is_none_or(|h| h == peer) {
+                self.release(Some(token), peer, release, now);
+            } else {
+                self.unsent.push_back((until, peer, release));
+            }
+        }
+    }
+
+    /// A client should have said something by now.
+    pub fn due(&mut self, token: Token, cx: &mut Context) {
+        let Some(client) = self.conns.get_mut(token) else {
+            return;
+        };
+        let idle = client.open == 0 && !client.answered;
+        let unfinished = client.awaited.filter(|_| client.answered || client.conn.has_part());
+        let next = match unfinished {
+            Some(since) if cx.now >= since + SAY_WITHIN => return self.end(token, End::Silent, cx),
+            Some(since) => since + SAY_WITHIN,
+            None if idle => return self.end(token, End::Silent, cx),
+            None if !client.answered => cx.now + LOOK_AGAIN,
+            None => {
+                client.watched = false;
+                return;
+            }
+        };
+        cx.deadlines.set(next, Due::Client(token));
+    }
+
+    /// Whether a connection has more to read than its last turn allowed.
+    pub fn has_unread(&self) -> bool {
+        !self.unread.is_empty()
+    }
+
+    /// Reads on where the last turn left off.
+    pub fn read_on(&mut self, cx: &mut Context) {
+        for token in std::mem::take(&mut self.unread) {
+            self.ready(token, cx);
         }
     }
 
@@ -147,7 +245,7 @@
     }
 
     fn read(&mut self, token: Token, cx: &mut Context) -> Result<(), End> {
-        loop {
+        for _ in 0..READS {
             let Some(client) = self.conns.get_mut(token) else {
                 return Ok(());
             };
@@ -156,14 +254,32 @@
             client.last_heard = cx.now;
             // What came before the end of the stream still counts.
             while let Some(text) = self.conns.get_mut(token).map_or(Ok(None), |c| c.conn.line())? {
+                if let Some(client) = self.conns.get_mut(token) {
+                    client.awaited = None;
+                }
                 if !text.is_empty() {
                     self.message(token, Message::parse(&text)?, cx)?;
                 }
             }
             if read? == 0 {
+                self.watch(token, cx);
                 return Ok(());
             }
         }
+        self.watch(token, cx);
+        self.unread.push(token);
+        Ok(())
+    }
+
+    /// Sees to it that a message which has begun gets whole.
+    fn watch(&mut self, token: Token, cx: &mut Context) {
+        if let Some(client) = self.conns.get_mut(token).filter(|c| c.conn.has_part()) {
+            client.awaited.get_or_insert(cx.now);
+            if !client.watched {
+                client.watched = true;
+                cx.deadlines.set(cx.now + SAY_WITHIN, Due::Client(token));
+            }
+        }
     }
 
     fn message(&mut self, token: Token, message: Message, cx: &mut Context) -> Result<(), End> {
@@ -178,7 +294,7 @@
             }
             "ECHO" => {
                 let passed = u32::from(!cx.stopping);
-                self.send(token, &line("ECHOED", &message.tag, &[], Some(passed), None));
+                self.answer(token, &line("ECHOED", &message.tag, &[], Some(passed), None));
                 Ok(())
             }
             "FINISHED" | "PENDING" => Ok(()),
@@ -190,9 +306,15 @@
         let Some(client) = self.conns.get_mut(token) else {
             return Ok(());
         };
+        // Without an id of its own a set-up can't be answered; forwarded, it would cost the connection to the
+        // exchange, whatever else is open there.
+        if !is_hex(&message.tag) {
+            return Err(End::Garbage);
+        }
         if self.by_tag.contains_key(&message.tag) {
+            // Answered under the id, it would look like the answer to the call that has it.
             cx.log.line(cx.now, "set-up-twice", &message.tag);
-            return Ok(());
+            return Err(End::Garbage);
         }
         let peer = client.peer;
         let tag = message.tag.clone();
@@ -201,31 +323,48 @@
             Err(field) => {
                 // Its caller has an id to be answered by, so it costs the call and not the connection.
                 cx.log.line(cx.now, "set-up-malformed", format_args!("{tag}: {field}"));
+                client.answered = true;
                 self.send(token, &line("FINISH", &tag, &[], Some(FAILED), None));
                 return Ok(());
             }
         };
+        if self.owed >= self.limits.calls() {
+            cx.log.line(cx.now, "too-many-calls", format_args!("{} owed", self.owed));
+            client.answered = true;
+            let wait = cx.engine.stay_away().map(|s| s.as_millis().to_string());
+            let opts: Vec<_> = wait.iter().map(|w| ("wait", w.as_str())).collect();
+            self.send(token, &line("FINISH", &tag, &opts, Some(REFUSED), None));
+            return Ok(());
+        }
         client.open += 1;
+        self.owed += 1;
         let call = cx.engine.call(cx.now, new, cx.deadlines);
         self.by_tag.insert(tag.clone(), call);
-        self.calls.insert(call, Known { tag, conn: token, peer, owed: true });
+        self.calls.insert(call, Known { tag, conn: token, peer, owed: true, stands: false });
+        // Callers are known by their calls: a release that waits may go to one.
+        self.send_kept(token, None, cx.now);
         Ok(())
     }
 
     /// Forgets a call that is over.
     fn forget(&mut self, call: CallToken) -> Option<Known> {
-        self.settled(call);
+        self.settled(call, false);
         let known = self.calls.remove(&call)?;
         self.by_tag.remove(&known.tag);
+        if let Some(client) = self.conns.get_mut(known.conn).filter(|_| known.stands) {
+            client.standing -= 1;
+        }
         Some(known)
     }
 
     /// The final answer of a call is given, or not owed any more.
-    fn settled(&mut self, call: CallToken) {
+    fn settled(&mut self, call: CallToken, stands: bool) {
         if let Some(known) = self.calls.get_mut(&call).filter(|k| k.owed) {
-            known.owed = false;
+            (known.owed, known.stands) = (false, stands);
+            self.owed -= 1;
             if let Some(client) = self.conns.get_mut(known.conn) {
                 client.open -= 1;
+                client.standing += usize::from(stands);
             }
         }
     }
@@ -234,23 +373,23 @@
     pub fn command(&mut self, command: Command, cx: &mut Context) {
         match command {
             Command::Answer(call, description) => {
-                self.settled(call);
+                self.settled(call, true);
                 if let Some(k) = self.calls.get(&call) {
                     let (conn, answer) =
                         (k.conn, line("STARTED", &k.tag, &[], None, Some(&description)));
-                    self.send(conn, &answer);
+                    self.answer(conn, &answer);
                 }
             }
             Command::Refuse(call, stay) => {
                 let wait = stay.map(|s| s.as_millis().to_string());
                 let opts: Vec<_> = wait.iter().map(|w| ("wait", w.as_str())).collect();
                 if let Some(k) = self.forget(call) {
-                    self.send(k.conn, &line("FINISH", &k.tag, &opts, Some(REFUSED), None));
+                    self.answer(k.conn, &line("FINISH", &k.tag, &opts, Some(REFUSED), None));
                 }
             }
             Command::Fail(call) => {
                 if let Some(k) = self.forget(call) {
-                    self.send(k.conn, &line("FINISH", &k.tag, &[], Some(FAILED), None));
+                    self.answer(k.conn, &line("FINISH", &k.tag, &[], Some(FAILED), None));
                 }
             }
             Command::ReleaseCaller(call, cause) => {
@@ -260,31 +399,44 @@
                 let rc = if cause == Cause::Normal { ENDED } else { CUT };
                 let release = line("FINISH", &k.tag, &[], Some(rc), None);
                 let conn = self.way_back(k.conn, k.peer);
-                self.release(conn, release, cx.now);
+                self.release(conn, k.peer, release, cx.now);
             }
             _ => {}
         }
     }
 
-    /// The connection for a release: the call's own, else one from the same host, else any.
+    /// The connection for a release: the call's own, else the newest from the same host, else the newest that was
+    /// given an answer. One from elsewhere that never was may be anybody's.
     fn way_back(&self, own: Token, peer: IpAddr) -> Option<Token> {
         if self.conns.get(own).is_some() {
             return Some(own);
         }
-        let newest = self.conns.iter().max_by_key(|(_, c)| (c.peer == peer, c.last_heard));
-        newest.map(|(token, _)| token)
+        let callers = self.conns.iter().filter(|(_, c)| c.answered || c.peer == peer);
+        let rank = |c: &Client| (c.peer == peer, c.answered, c.last_heard);
+        callers.max_by_key(|(_, c)| rank(c)).map(|(token, _)| token)
     }
 
     /// Sends a release, or keeps it for the next connection.
-    fn release(&mut self, conn: Option<Token>, release: Vec<u8>, now: Duration) {
+    fn release(&mut self, conn: Option<Token>, peer: IpAddr, release: Vec<u8>, now: Duration) {
         let Some((token, client)) = conn.and_then(|t| Some((t, self.conns.get_mut(t)?))) else {
-            return self.unsent.push_back((now + RELEASE_KEPT, release));
+            if self.unsent.len() >= MOST_UNSENT {
+                self.unsent.pop_front();
+            }
+            return self.unsent.push_back((now + RELEASE_KEPT, peer, release));
         };
         client.released.retain(|(at, _)| *at + MAY_CROSS > now);
         client.released.push((now, release.clone()));
         self.send(token, &release);
     }
 
+    /// Sends an answer.
+    fn answer(&mut self, token: Token, bytes: &[u8]) {
+        if let Some(client) = self.conns.get_mut(token) {
+            client.answered = true;
+        }
+        self.send(token, bytes);
+    }
+
     fn send(&mut self, token: Token, bytes: &[u8]) {
         if let Some(client) = self.conns.get_mut(token) {
             if let Err(end) = client.conn.send(bytes) {
@@ -311,7 +463,7 @@
         }
         for (_, release) in client.released.into_iter().filter(|(at, _)| *at + MAY_CROSS > cx.now) {
             let conn = self.way_back(token, client.peer);
-            self.release(conn, release, cx.now);
+            self.release(conn, client.peer, release, cx.now);
         }
         if client.open > 0 {
             let open = self.calls.iter().filter(|(_, k)| k.conn == token && k.owed);
@@ -324,15 +476,21 @@
     }
 }
 
-/// Reads a set-up; names the field at fault.
+/// Reads a set-up; names the field at fault. What goes on to an exchange unchanged must be what it can read,
+/// as it closes its connection on anything else; and a figure that is out of range is not mended.
 fn incoming(message: Message, words: &Words) -> Result<Incoming, &'static str> {
     let class = words.classes.iter().position(|c| c == message.opt("class")).ok_or("class")?;
     let left: f64 = message.opt("left").parse().map_err(|_| "left")?;
     let patience = slateshed_settings::duration(left).ok_or("left")?;
-    let dialled = u64::from_str_radix(message.opt("key"), 16).map_err(|_| "key")?;
+    if patience.is_zero() || patience > words.deadlines[class] + LEFT_SLACK {
+        return Err("left");
+    }
+    let key = Some(message.opt("key")).filter(|k| is_hex(k)).ok_or("key")?;
+    let dialled = u64::from_str_radix(key, 16).map_err(|_| "key")?;
     let extras = message.opt("extras");
     let count = |name| {
-        figure(extras, name).filter(|x| (0.0..=f64::from(u32::MAX)).contains(x)).map(|x| x as u32)
+        let whole = |x: &f64| x.fract() == 0.0 && (0.0..=MOST_FIGURE).contains(x);
+        figure(extras, name).filter(whole).map(|x| x as u32)
     };
     let flag = |name| count(name).is_some_and(|x| x != 0);
     let origin = match () {
@@ -345,13 +503,13 @@
         dialled: DialledNumber(dialled),
         patience,
         destination: ExchangeNumber(count("dest").ok_or("extras.dest")?),
-        circuits: count("width").ok_or("extras.width")?,
+        circuits: count("width").filter(|w| *w > 0).ok_or("extras.width")?,
         advice: count("via").map(ExchangeNumber),
         origin,
         offer: Rc::new(Offer {
             class: message.opt("class").to_owned(),
-            key: message.opt("key").to_owned(),
-            description: message.blob.unwrap_or_default(),
+            key: key.to_owned(),
+            description: message.blob.ok_or("blob")?,
             id: message.tag,
         }),
     })
--- a/node/src/net/exchanges.rs
+++ b/node/src/net/exchanges.rs
@@ -92,7 +92,7 @@
 }
 
 /// A set-up as it goes to an exchange.
-pub fn set_up(offer: &Offer, wait: Duration) -> Vec<u8> {
+fn set_up(offer: &Offer, wait: Duration) -> Vec<u8> {
     let left = wait.as_millis().to_string();
     let opts = [("class", offer.class.as_str()), ("key", &offer.key), ("left", &left)];
     line("START", &offer.id, &opts, None, Some(&offer.description))
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -82,6 +82,8 @@
     Accept,
     /// A connection to an exchange should be up.
     Dial(Token),
+    /// A client should have said something, or have ended its message.
+    Client(Token),
     /// A message of an exchange should have got whole.
     Part(Token),
     /// An exchange is to be dialled again.
@@ -196,6 +198,7 @@
                 cx.log.line(now, "sip-started", format_args!("listening on {}", sip.listens()));
             }
         }
+        clients.read_on(&mut cx);
         exchanges.read_on(&mut cx);
         sip.iter_mut().for_each(|s| s.read_on(&mut cx));
         for event in &events {
@@ -249,7 +252,8 @@
         while let Some(due) = cx.deadlines.pop(now) {
             match due {
                 Due::Engine(wake) => cx.engine.wake(now, wake, cx.deadlines),
-                Due::Accept => clients.accept(&mut cx),
+                Due::Accept => clients.accept_due(&mut cx),
+                Due::Client(token) => clients.due(token, &mut cx),
                 Due::Part(token) => exchanges.part_due(token, &mut cx),
                 Due::Dial(token) => exchanges.dial_due(token, &mut cx),
                 Due::Redial(exchange) => exchanges.redial_due(exchange, &mut cx),
@@ -305,7 +309,8 @@
         // Rounded up, since a poll that ends early would only spin.
         let wait = wait.map(|w| w + Duration::from_micros(999)).map(|w| w.min(Duration::from_secs(1)));
         // Who has more to say than a turn allows goes on once the others have been heard.
-        let unread = exchanges.has_unread() || sip.as_ref().is_some_and(Sip::has_unread);
+        let unread = clients.has_unread() || exchanges.has_unread();
+        let unread = unread || sip.as_ref().is_some_and(Sip::has_unread);
         let wait = if unread { Some(Duration::ZERO) } else { wait };
         match poll.poll(&mut events, wait) {
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
