Let no set-up that still waits for its connection go to an exchange that drains or is gone

Now a connection that is not up ends with the news, or with the set-up given up on it; other set-ups that waited there move on as before, only to an exchange in service, and else end as not sent.

--- a/node/src/net/exchanges.rs
+++ b/node/src/net/exchanges.rs
@@ -136,13 +136,25 @@
             unsent: Vec::new(),
         });
         peer.phase = phase;
-        if peer.addr != addr {
-            peer.addr = addr;
+        let moved = peer.addr != addr;
+        peer.addr = addr;
+        if moved {
             self.retire_all(exchange, cx);
         }
+        if moved || phase != Phase::InService {
+            self.drop_unsent(exchange, cx);
+        }
         self.refill(exchange, cx);
     }
 
+    /// Ends the connections to an exchange that are not up. What waits on one would go out as soon as it is,
+    /// long after the exchange was said to drain or to have moved.
+    fn drop_unsent(&mut self, exchange: ExchangeId, cx: &mut Context) {
+        let late = self.links.iter().filter(|(_, l)| l.exchange == exchange && !l.conn.is_up());
+        let late: Vec<_> = late.map(|(token, _)| token).collect();
+        late.into_iter().for_each(|token| self.end(token, End::ClosedHere, cx));
+    }
+
     /// Exchanges that the whole list lacks are gone.
     pub fn keep_only(&mut self, named: &[ExchangeId], cx: &mut Context) {
         let gone: Vec<_> = self.peers.keys().filter(|e| !named.contains(e)).copied().collect();
@@ -152,6 +164,7 @@
     fn gone(&mut self, exchange: ExchangeId, cx: &mut Context) {
         self.retire_all(exchange, cx);
         self.peers.remove(&exchange);
+        self.drop_unsent(exchange, cx);
     }
 
     /// No new set-up goes on a connection; it is closed once none is open on it.
@@ -294,6 +307,10 @@
                 let Some(sent) = self.forget(attempt) else {
                     return;
                 };
+                if self.links.get(sent.link).is_some_and(|l| !l.conn.is_up()) {
+                    // It would go out once the connection is up, when the call may be elsewhere.
+                    return self.end(sent.link, End::ClosedHere, cx);
+                }
                 self.send(sent.link, &line("FINISH", &sent.offer.id, &[], Some(16), None));
                 // Nothing heard since the set-up: the machine may have vanished, and its connections would
                 // stay open and silent. The next set-up goes on a new one.
@@ -568,12 +585,17 @@
             };
             // What was not written whole has not run: it goes on another connection, if there may be one.
             let left = !unreachable && sent.moves < MOVES && !link.conn.has_written(sent.end_at);
-            if left && self.peers.contains_key(&exchange) && cx.now < sent.until {
+            let serves = self.peers.get(&exchange).is_some_and(|p| p.phase == Phase::InService);
+            if left && serves && cx.now < sent.until {
                 let times = (sent.at, sent.until);
                 self.start(attempt, exchange, sent.offer, times, sent.moves + 1, cx);
             } else {
-                let unsent = link.conn.is_up() && !link.conn.has_written(sent.end_at);
-                let end = if unsent { End::NeverUp } else { end };
+                let unsent = !link.conn.has_written(sent.end_at);
+                let end = match end {
+                    End::ClosedHere if unsent => End::NotSent,
+                    _ if unsent && link.conn.is_up() => End::NeverUp,
+                    end => end,
+                };
                 cx.engine.attempt_ended(cx.now, attempt, end, cx.deadlines);
             }
         }
