Give a set-up up that four later ones have overtaken, and send it again

Each such call was out for its whole aim (1 to 2.5 s) and then refused, and its time-out stood for a long delay although set-ups sent after it had been answered in 40 ms. Ruled out: silent connections (all ended within 0.3 s, in the log), the exchanges' processors (no full).

At fault: engine.rs had one end for it, the attempt's time-out. A processor has one line, so direct set-ups to one exchange are answered in the order of sending: one that four sent 20 ms later or more have overtaken is given up (End::Overtaken, Disconnected to the controller: no long delay, again after the wait for release). The second attempt goes on another connection, and what answers a set-up counts only on its own connection, since the late answer may still come.

--- a/node/src/end.rs
+++ b/node/src/end.rs
@@ -33,6 +33,8 @@
     ClosedHere,
     /// The attempt was not answered in time and was given up.
     TimedOut,
+    /// Set-ups sent later were answered, so that no answer is to be expected, and the attempt was given up.
+    Overtaken,
     /// The caller gave the attempt up.
     GivenUp,
     /// The attempt never left this side.
@@ -65,7 +67,7 @@
             End::Refused | End::DialTimedOut | End::NeverUp | End::NoSocket => Outcome::Unreachable,
             End::Closed | End::Broken | End::Silent | End::StoppedShort => Outcome::Disconnected,
             End::Garbage | End::Oversized => Outcome::Disconnected,
-            End::Backlog | End::ClosedHere => Outcome::Disconnected,
+            End::Backlog | End::ClosedHere | End::Overtaken => Outcome::Disconnected,
             End::Cut => Outcome::Reset,
             End::TimedOut => Outcome::TimedOut,
             End::GivenUp => Outcome::Cancelled,
@@ -104,6 +106,7 @@
             End::Backlog => "peer takes nothing in",
             End::ClosedHere => "closed here",
             End::TimedOut => "timed out",
+            End::Overtaken => "overtaken",
             End::GivenUp => "given up",
             End::NotSent => "not sent",
             End::Ended => "ended",
--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -18,6 +18,11 @@
 /// time for the 8 s that the rules leave.
 const LOST_AFTER: Duration = Duration::from_secs(5);
 
+/// A processor has one line. A direct set-up that this many sent later have overtaken, each by this time at least,
+/// will have no answer: it was lost or held up on its way back.
+const OVERTAKEN_BY: u32 = 4;
+const SENT_LATER: Duration = Duration::from_millis(20);
+
 /// A call in the engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallToken(pub Token);
@@ -123,6 +128,7 @@
 #[derive(Debug)]
 struct Call {
     offer: Rc<Offer>,
+    destination: ExchangeNumber,
     /// The final answer has been given before then.
     answer_by: Duration,
     /// No set-up before then, after an attempt that may still hold what it took.
@@ -139,6 +145,9 @@
     number: u32,
     sent: Duration,
     stands: bool,
+    /// It went to its destination; how many later ones that did have been answered since.
+    direct: bool,
+    overtaken: u32,
 }
 
 #[derive(Debug)]
@@ -255,6 +264,7 @@
         let answer_by = answer_by.max(now);
         let call = CallToken(self.calls.insert(Call {
             offer: new.offer,
+            destination: new.destination,
             answer_by,
             not_before: Duration::ZERO,
             attempts: 0,
@@ -308,11 +318,32 @@
         };
         a.stands = true;
         let (call, number, delay) = (a.call, a.number, now.saturating_sub(a.sent));
+        let (exchange, sent, direct) = (a.exchange, a.sent, a.direct);
         self.commands.push_back(Command::Answer(call, description));
+        if direct {
+            self.overtake(now, exchange, sent);
+        }
         self.tell(now, Event::Stands { call: CallId(call.0.bits()), attempt: number, delay }, d);
         true
     }
 
+    /// A direct set-up was answered: those sent before it to the same exchange should have been.
+    fn overtake(&mut self, now: Duration, exchange: ExchangeId, sent: Duration) {
+        let mut lost = Vec::new();
+        for (token, a) in self.attempts.iter_mut() {
+            if a.exchange == exchange && a.direct && !a.stands && a.sent + SENT_LATER <= sent {
+                a.overtaken += 1;
+                if a.overtaken >= OVERTAKEN_BY {
+                    lost.push(AttemptToken(token));
+                }
+            }
+        }
+        for attempt in lost {
+            self.commands.push_back(Command::GiveUp(attempt));
+            self.attempts_over(now, attempt, End::Overtaken, false);
+        }
+    }
+
     /// An attempt, out or standing, has ended at the exchange or with its connection. A connection that
     /// ends takes with it only what has not been answered: what stands belongs to no connection.
     pub fn attempt_ended<D: From<Wake>>(
@@ -606,10 +637,14 @@
         if call.attempt.is_some() || now < call.not_before || !in_service || wait.is_zero() {
             return self.over(now, token, number, Duration::ZERO, End::NotSent, false);
         }
-        let offer = Rc::clone(&call.offer);
-        let attempt = Attempt { call: token, exchange, number, sent: now, stands: false };
+        let (offer, destination) = (Rc::clone(&call.offer), call.destination);
+        let direct = self.number(exchange) == Some(destination);
+        let attempt =
+            Attempt { call: token, exchange, number, sent: now, stands: false, direct, overtaken: 0 };
         let attempt = AttemptToken(self.attempts.insert(attempt));
-        call.attempt = Some(attempt);
+        if let Some(call) = self.calls.get_mut(token.0) {
+            call.attempt = Some(attempt);
+        }
         d.set(now + wait, Wake::Attempt(attempt).into());
         self.commands.push_back(Command::SetUp { attempt, exchange, offer, wait });
     }
--- a/node/src/net/exchanges.rs
+++ b/node/src/net/exchanges.rs
@@ -11,7 +11,7 @@
 use mio::net::TcpStream;
 use mio::Interest;
 use slateshed::{ExchangeId, Phase};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -38,6 +38,8 @@
 const MOVES: u32 = 3;
 /// Reads of a connection in one turn. What is left is read in the next, after all others have had theirs.
 const READS: usize = 16;
+/// Ids of set-ups given up on a connection that are kept in mind.
+const GIVEN_UP: usize = 16;
 /// How long a release waits for a connection, and how many do.
 const RELEASE_KEPT: Duration = Duration::from_secs(8);
 const MOST_UNSENT: usize = 1024;
@@ -66,6 +68,8 @@
     missed: u32,
     /// Since when a message has begun and is not whole.
     part_since: Option<Duration>,
+    /// Ids of set-ups given up here of late: an answer that comes late is none to the next attempt.
+    given_up: VecDeque<String>,
 }
 
 struct Sent {
@@ -210,11 +214,13 @@
     }
 
     /// The connection for a new set-up: of those that the exchange has spoken on, the one with the fewest
-    /// set-ups open; else one that is up; else one on its way.
-    fn pick(&mut self, exchange: ExchangeId, cx: &mut Context) -> Option<Token> {
+    /// set-ups open; else one that is up; else one on its way. One on which the same call was given up before
+    /// comes last, since the answer to that may still come there.
+    fn pick(&mut self, exchange: ExchangeId, id: &str, cx: &mut Context) -> Option<Token> {
         let peer = self.peers.get(&exchange)?;
         let links = peer.links.iter().filter_map(|t| Some((*t, self.links.get(*t)?)));
-        let rank = |l: &Link| (l.part_since.is_some(), !l.heard, !l.conn.is_up(), l.open.len());
+        let spoilt = |l: &Link| l.part_since.is_some() || l.given_up.iter().any(|g| g == id);
+        let rank = |l: &Link| (spoilt(l), !l.heard, !l.conn.is_up(), l.open.len());
         let best = links.min_by_key(|(_, l)| rank(l)).map(|(token, _)| token);
         best.or_else(|| self.dial(exchange, cx))
     }
@@ -247,6 +253,7 @@
                 heard: false,
                 missed: 0,
                 part_since: None,
+                given_up: VecDeque::new(),
             }
         });
         if registered.is_err() {
@@ -311,6 +318,10 @@
                     // It would go out once the connection is up, when the call may be elsewhere.
                     return self.end(sent.link, End::ClosedHere, cx);
                 }
+                if let Some(link) = self.links.get_mut(sent.link) {
+                    link.given_up.truncate(GIVEN_UP - 1);
+                    link.given_up.push_front(sent.offer.id.clone());
+                }
                 self.send(sent.link, &line("FINISH", &sent.offer.id, &[], Some(16), None));
                 // Nothing heard since the set-up: the machine may have vanished, and its connections would
                 // stay open and silent. The next set-up goes on a new one.
@@ -337,7 +348,7 @@
                 let is_up = |t: &Token| self.links.get(*t).is_some_and(|l| l.conn.is_up());
                 let on = Some(sent.link).filter(is_up);
                 let on = on.or_else(|| {
-                    self.pick(sent.exchange, cx)
+                    self.pick(sent.exchange, "", cx)
                         .filter(|t| self.links.get(*t).is_some_and(|l| l.conn.is_up()))
                 });
                 match on {
@@ -366,7 +377,7 @@
         moves: u32,
         cx: &mut Context,
     ) {
-        let Some(token) = self.pick(exchange, cx) else {
+        let Some(token) = self.pick(exchange, &offer.id, cx) else {
             return cx.engine.attempt_ended(cx.now, attempt, End::NoSocket, cx.deadlines);
         };
         let bytes = set_up(&offer, until.saturating_sub(cx.now));
@@ -512,6 +523,12 @@
             self.reported(token, exchange, cx.now);
         }
         let attempt = self.by_tag.get(&(exchange, message.tag.clone())).copied();
+        // What answers a set-up comes on its own connection; on another it answers one given up there.
+        let elsewhere = |a: &AttemptToken| {
+            let on = self.attempts.get(a).map(|sent| sent.link);
+            !cx.engine.stands(*a) && on != Some(token) && on.is_some_and(|t| self.links.get(t).is_some())
+        };
+        let attempt = attempt.filter(|a| !elsewhere(a));
         let load = message.opt("load");
         if !load.is_empty() {
             let count = |name: &str| figure(load, name).filter(|x| *x >= 0.0).map(|x| x as u32);
--- a/node/src/slots.rs
+++ b/node/src/slots.rs
@@ -77,6 +77,11 @@
         self.slab.iter().map(|(slot, (g, entry))| (Token(g << 32 | slot as u64), entry))
     }
 
+    /// All entries with their tokens, to be changed.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (Token, &mut T)> {
+        self.slab.iter_mut().map(|(slot, (g, entry))| (Token(*g << 32 | slot as u64), entry))
+    }
+
     /// How many entries there are.
     pub fn len(&self) -> usize {
         self.slab.len()
--- a/node/tests/engine.rs
+++ b/node/tests/engine.rs
@@ -198,6 +198,32 @@
     assert_eq!((world.engine.owed(), world.engine.name(one)), (0, "s-1"));
 }
 
+/// Guards against a call that waits out its time for an answer that was lost: set-ups sent later have theirs. It
+/// is given up and sent again after the wait for release; one that the others have not passed waits on.
+#[test]
+fn a_set_up_that_later_ones_overtake_is_sent_again() {
+    let mut world = World::new();
+    let late_call = world.call(3000);
+    let (late, _) = world.set_up();
+    for n in 1..=4 {
+        world.pass(30);
+        let call = world.call(3000);
+        let (attempt, _) = world.set_up();
+        world.pass(20);
+        assert!(world.answered(attempt));
+        let said = world.commands();
+        assert_eq!(said[0], Command::Answer(call, "d".to_owned()));
+        assert_eq!(said[1..].contains(&Command::GiveUp(late)), n == 4, "{said:?}");
+    }
+    world.pass(490);
+    assert_eq!(world.commands(), [], "within the wait for release");
+    world.pass(30);
+    let (again, _) = world.set_up();
+    assert!(!world.answered(late));
+    assert!(world.answered(again));
+    assert_eq!(world.commands(), [Command::Answer(late_call, "d".to_owned())]);
+}
+
 /// Guards against memory that grows with every exchange that is replaced for good.
 #[test]
 fn exchanges_that_are_gone_are_forgotten_once_nothing_is_out_there() {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -324,7 +324,8 @@
     Unreachable,
     /// The set-up or the standing call was cut.
     Reset,
-    /// The connection that the set-up was on ended, or what came on it was spoilt; it may have run.
+    /// The connection that the set-up was on ended, what came on it was spoilt, or the answer was lost on its
+    /// way; it may have run.
     Disconnected,
     /// Called off.
     Cancelled,
