Bound the SIP front: silent streams, floods of requests, answers that can't be read

Now a stream has the two seconds that clients have, and one that never spoke makes way; transactions and legs are bounded by the memory, and what is beyond is answered 503 with Retry-After and no state; a spoilt 2xx is acknowledged, released, and ends its attempt as garbage, after which the call may be sent again. Each has a test that fails without the change.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -84,6 +84,12 @@
         Bounds { line: message::LIMIT, waiting: each.max(2 * message::LIMIT) }
     }
 
+    /// Transactions of the SIP front, and legs of calls there: an eighth of the memory, at 4 KiB for each with what
+    /// it may have to send again.
+    pub fn transactions(&self) -> usize {
+        (self.memory / 8 / 4096).max(256)
+    }
+
     /// Calls that are owed an answer, over all fronts: an eighth of the memory, were each description as long
     /// as a message can be.
     pub fn calls(&self) -> usize {
--- a/node/src/net/clients.rs
+++ b/node/src/net/clients.rs
@@ -2,7 +2,7 @@
 
 use super::conn::Conn;
 use super::lines::{figure, is_hex, line, Message};
-use super::{Context, Due, Kind};
+use super::{Context, Due, Kind, SAY_WITHIN};
 use crate::config::{Limits, Words};
 use crate::end::End;
 use crate::engine::{CallToken, Cause, Command, Incoming, Offer};
@@ -27,9 +27,6 @@
 const RELEASE_KEPT: Duration = Duration::from_secs(30);
 /// Wait before accepting again when there is no room.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
-/// A client that has been given no answer within this time of connecting, and is owed none, is closed on; so is
-/// one whose message has begun and is not whole by then.
-const SAY_WITHIN: Duration = Duration::from_secs(2);
 /// Wait before looking again at one that is still owed its first answer.
 const LOOK_AGAIN: Duration = Duration::from_millis(200);
 /// Reads of a connection in one turn. What is left is read in the next, after all others have had theirs.
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -29,6 +29,10 @@
 /// All answers are out by then: well before the process may be killed.
 const STOP_BY: Duration = Duration::from_millis(3300);
 
+/// Whoever connects and has said nothing whole within this time is closed on, on either front; so is one whose
+/// message has begun and is not whole by then.
+pub const SAY_WITHIN: Duration = Duration::from_secs(2);
+
 /// What a poll token belongs to; the rest of it is a slot token.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
--- a/node/src/net/sip/mod.rs
+++ b/node/src/net/sip/mod.rs
@@ -25,6 +25,8 @@
 
 /// Longest wait that an exchange is believed to have: beyond it, it would stay shut by one wrong header.
 const MOST_TOLD: Duration = Duration::from_secs(32);
+/// Seconds after which there may be room again for another transaction.
+const FULL_FOR: &str = "5";
 /// Datagrams taken in one turn.
 const DATAGRAMS: usize = 64;
 const ALLOW: &str = "INVITE, ACK, CANCEL, BYE, OPTIONS";
@@ -85,6 +87,8 @@
     transport: Transport,
     transactions: Transactions,
     legs: Slots<Leg>,
+    /// Legs beyond which no call is taken; one that is over is kept for a while.
+    most_legs: usize,
     by_call: HashMap<CallToken, Token>,
     by_attempt: HashMap<AttemptToken, Token>,
     /// Call-ID and own tag of a dialog.
@@ -107,7 +111,8 @@
     ) -> io::Result<Self> {
         let transport = Transport::bind(config.udp, config.tcp, limits, registry)?;
         Ok(Sip {
-            transactions: Transactions::new(config.times),
+            transactions: Transactions::new(config.times, limits.transactions()),
+            most_legs: limits.transactions(),
             config,
             transport,
             legs: Slots::default(),
@@ -224,7 +229,7 @@
 
     /// A stream can be read or written.
     pub fn stream(&mut self, token: Token, cx: &mut Context) {
-        let (messages, end) = self.transport.read(token, cx.now);
+        let (messages, end) = self.transport.read(token, cx);
         if let Some(addr) = self.transport.peer(token) {
             for bytes in messages {
                 self.message(&bytes, Target { protocol: Protocol::Tcp, addr, conn: Some(token) }, cx);
@@ -395,6 +400,13 @@
                 }
             }
             Taken::Ack => self.ack(&m, cx),
+            Taken::Full => {
+                cx.log.line(cx.now, "sip-full", format_args!("{method} of {}", source.addr));
+                let tag = self.unique();
+                let more = [("Retry-After", FULL_FOR)];
+                let bytes = message::response(&m.headers, 503, &tag, &more, "");
+                let _ = self.transport.send(source, &bytes, cx);
+            }
             Taken::Response(_) | Taken::Absorbed | Taken::Stray => {}
         }
     }
@@ -407,6 +419,10 @@
 
     /// A new call.
     fn invite(&mut self, m: &Message, tx: Token, source: Target, cx: &mut Context) {
+        if self.legs.len() >= self.most_legs {
+            cx.log.line(cx.now, "sip-full", format_args!("INVITE of {}", source.addr));
+            return self.respond(tx, &m.headers, 503, &[("Retry-After", FULL_FOR)], cx.now);
+        }
         let number = m.called().and_then(|called| Some((self.config.number(&called)?.clone(), called)));
         let Some((plan, called)) = number else {
             return self.respond(tx, &m.headers, 404, &[], cx.now);
@@ -532,7 +548,12 @@
                 if let Some(l) = self.legs.get_mut(leg) {
                     l.state = State::Standing;
                 }
-                let description = m.text().unwrap_or_default().to_owned();
+                // A description that can't be read is never passed on, not even as an empty one.
+                let Some(description) = m.text().map(str::to_owned) else {
+                    cx.log.line(cx.now, "sip-malformed", "an answer whose body is no text");
+                    self.say_bye(leg, cx);
+                    return cx.engine.attempt_ended(cx.now, attempt, End::Garbage, cx.deadlines);
+                };
                 if !cx.engine.answered(cx.now, attempt, description, cx.deadlines) {
                     self.say_bye(leg, cx);
                 }
--- a/node/src/net/sip/transaction.rs
+++ b/node/src/net/sip/transaction.rs
@@ -118,6 +118,8 @@
     Absorbed,
     /// A response that belongs to nothing.
     Stray,
+    /// A new request for which there is no room: to be answered without a transaction, if at all.
+    Full,
 }
 
 struct Transaction {
@@ -189,14 +191,16 @@
 /// All transactions.
 pub struct Transactions {
     times: Times,
+    /// Most transactions; requests of others beyond it are not taken. Over UDP each is kept for 64 times T1.
+    most: usize,
     table: Slots<Transaction>,
     keys: HashMap<Key, Token>,
 }
 
 impl Transactions {
     /// No transactions yet.
-    pub fn new(times: Times) -> Self {
-        Transactions { times, table: Slots::default(), keys: HashMap::new() }
+    pub fn new(times: Times, most: usize) -> Self {
+        Transactions { times, most, table: Slots::default(), keys: HashMap::new() }
     }
 
     fn add(&mut self, transaction: Transaction) -> Token {
@@ -333,6 +337,9 @@
         if *method == Method::ACK {
             return Taken::Ack;
         }
+        if self.table.len() >= self.most {
+            return Taken::Full;
+        }
         let kind = if *method == Method::INVITE { Kind::ServerInvite } else { Kind::Server };
         let (state, interval, last) = (State::Waiting, self.times.t1, Rc::from([]));
         Taken::Request(self.add(Transaction {
--- a/node/src/net/sip/transport.rs
+++ b/node/src/net/sip/transport.rs
@@ -5,7 +5,7 @@
 use crate::config::Limits;
 use crate::end::End;
 use crate::net::conn::Conn;
-use crate::net::{Context, Due, Kind};
+use crate::net::{Context, Due, Kind, SAY_WITHIN};
 use crate::slots::{Slots, Token};
 use mio::net::{TcpListener, TcpStream, UdpSocket};
 use mio::Interest;
@@ -24,6 +24,10 @@
     conn: Conn,
     peer: SocketAddr,
     last_heard: Duration,
+    /// A whole message has come on it, or it was dialled.
+    spoke: bool,
+    /// Since when its first message has been awaited, or another is not whole.
+    awaited: Option<Duration>,
 }
 
 /// The sockets of the SIP front.
@@ -104,8 +108,19 @@
         }
     }
 
+    /// Closes the stream that has said nothing for longest since it was accepted.
+    fn make_way(&mut self, cx: &mut Context) {
+        let silent = self.streams.iter().filter(|(_, s)| !s.spoke && s.last_heard < cx.now);
+        if let Some((token, _)) = silent.min_by_key(|(_, s)| s.last_heard) {
+            self.close(token, cx);
+        }
+    }
+
     fn add(&mut self, mut s: TcpStream, peer: SocketAddr, up: bool, cx: &mut Context) -> Option<Token> {
         let (now, registry, bounds) = (cx.now, cx.registry, self.limits.sip_bounds());
+        if self.streams.len() >= self.limits.sip_streams() {
+            self.make_way(cx);
+        }
         if self.streams.len() >= self.limits.sip_streams() {
             cx.log.line(now, "sip-too-many-streams", format_args!("{peer} is turned away"));
             return None;
@@ -114,13 +129,14 @@
         let token = self.streams.insert_with(|token| {
             let both = Interest::READABLE | Interest::WRITABLE;
             registered = registry.register(&mut s, Kind::SipStream.token(token), both);
-            Stream { conn: Conn::new(s, bounds, up), peer, last_heard: now }
+            let awaited = up.then_some(now);
+            Stream { conn: Conn::new(s, bounds, up), peer, last_heard: now, spoke: !up, awaited }
         });
         if registered.is_err() {
             self.streams.remove(token);
             return None;
         }
-        let due = if up { IDLE } else { cx.dial_timeout };
+        let due = if up { SAY_WITHIN } else { cx.dial_timeout };
         cx.deadlines.set(now + due, Due::SipStream(token));
         Some(token)
     }
@@ -131,16 +147,17 @@
         if !stream.conn.is_up() {
             return Some(End::DialTimedOut);
         }
-        let idle_at = stream.last_heard + IDLE;
-        if cx.now >= idle_at {
+        let due = stream.awaited.map_or(stream.last_heard + IDLE, |since| since + SAY_WITHIN);
+        if cx.now >= due {
             return Some(End::Silent);
         }
-        cx.deadlines.set(idle_at, Due::SipStream(token));
+        cx.deadlines.set(due, Due::SipStream(token));
         None
     }
 
     /// Reads a stream; the whole messages that have come, and how it ended if it has.
-    pub fn read(&mut self, token: Token, now: Duration) -> (Vec<Vec<u8>>, Option<End>) {
+    pub fn read(&mut self, token: Token, cx: &mut Context) -> (Vec<Vec<u8>>, Option<End>) {
+        let now = cx.now;
         let mut messages = Vec::new();
         let Some(stream) = self.streams.get_mut(token) else {
             return (messages, None);
@@ -164,7 +181,10 @@
                 let blank = input.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
                 input.drain(..blank);
                 match message::length(input) {
-                    Ok(Some(length)) => messages.push(input.drain(..length).collect()),
+                    Ok(Some(length)) => {
+                        messages.push(input.drain(..length).collect());
+                        (stream.spoke, stream.awaited) = (true, None);
+                    }
                     Ok(None) => break,
                     Err(_) => return (messages, Some(End::Garbage)),
                 }
@@ -175,6 +195,11 @@
                 Err(end) => break Some(end),
             }
         };
+        // A message that has begun is to get whole.
+        if stream.spoke && stream.awaited.is_none() && stream.conn.has_part() {
+            stream.awaited = Some(now);
+            cx.deadlines.set(now + SAY_WITHIN, Due::SipStream(token));
+        }
         (messages, end)
     }
 
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -288,13 +288,29 @@
     }
 
     pub fn say(&mut self, message: &str) {
+        self.raw(message.as_bytes());
+    }
+
+    pub fn raw(&mut self, bytes: &[u8]) {
         match &mut self.socket {
-            SipSocket::Udp(s, to) => s.send_to(message.as_bytes(), *to).map(drop),
-            SipSocket::Tcp(s, _) => s.write_all(message.as_bytes()),
+            SipSocket::Udp(s, to) => s.send_to(bytes, *to).map(drop),
+            SipSocket::Tcp(s, _) => s.write_all(bytes),
         }
         .expect("sent");
     }
 
+    /// Waits for the stream to be closed.
+    pub fn closed(&mut self) -> bool {
+        let SipSocket::Tcp(s, _) = &mut self.socket else {
+            return false;
+        };
+        s.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        match s.read(&mut [0; 64]) {
+            Ok(n) => n == 0,
+            Err(e) => e.kind() == std::io::ErrorKind::ConnectionReset,
+        }
+    }
+
     /// The next message within a time. Datagrams come from whoever sends here first.
     pub fn within(&mut self, time: Duration) -> Option<String> {
         let mut buffer = vec![0; 65_536];
--- a/node/tests/sip.rs
+++ b/node/tests/sip.rs
@@ -266,6 +266,40 @@
     }
 }
 
+/// Guards against streams that hold their place and say nothing, or never end what they say.
+#[test]
+fn a_stream_that_says_nothing_whole_is_closed() {
+    let mut world = World::new("udp");
+    let (mut mute, mut half, mut more) = (world.caller("tcp"), world.caller("tcp"), world.caller("tcp"));
+    half.say("INVITE sip:2101@127.0.0.1 SIP/2.0\r\nVia: ");
+    let options = request("OPTIONS", &more, 1, "", "", "");
+    more.say(&format!("{options}INVITE sip:"));
+    more.hear("SIP/2.0 200");
+    for stream in [&mut mute, &mut half, &mut more] {
+        assert!(stream.closed());
+    }
+}
+
+/// Guards against an answer that is spoilt and is passed on as a good one with an empty description.
+#[test]
+fn an_answer_whose_body_is_no_text_is_released_and_not_passed_on() {
+    let mut world = World::new("udp");
+    let mut caller = world.caller("udp");
+    let invite = world.ring(&mut caller, 1, "");
+    let (addr, exchange) = (world.addr, world.exchange());
+    let mut spoilt = response(&invite, "200 OK", addr, "v=0!").into_bytes();
+    let end = spoilt.len() - 1;
+    spoilt[end] = 0xff;
+    exchange.raw(&spoilt);
+    exchange.hear("ACK");
+    let bye = exchange.hear("BYE");
+    exchange.say(&response(&bye, "200 OK", addr, ""));
+    // It may be repeated, and is sent again after the wait for release.
+    let again = exchange.hear("INVITE");
+    exchange.say(&response(&again, "486 Busy Here", addr, ""));
+    assert!(caller.hear("SIP/2.0 503").contains("Retry-After"));
+}
+
 /// Guards against an answer that is lost, and against one final answer that becomes two.
 #[test]
 fn over_udp_the_2xx_is_sent_again_until_its_ack() {
--- a/node/tests/transactions.rs
+++ b/node/tests/transactions.rs
@@ -7,6 +7,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// Transactions that each side has room for.
+const MOST: usize = 3;
+
 struct Side {
     transactions: Transactions,
     protocol: Protocol,
@@ -20,7 +23,7 @@
     fn new(protocol: Protocol) -> Self {
         let ms = Duration::from_millis;
         let times = Times { t1: ms(500), t2: ms(4000), t4: ms(5000) };
-        let transactions = Transactions::new(times);
+        let transactions = Transactions::new(times, MOST);
         Side { transactions, protocol, now: Duration::ZERO, wakes: Vec::new(), said: String::new() }
     }
 
@@ -227,3 +230,15 @@
     assert_eq!(side.response("INVITE", 180), Taken::Response(tx));
     insta::assert_snapshot!(side.said, @"0 INVITE, 500 INVITE");
 }
+
+/// Guards against a flood of requests that fills the memory: over UDP each would be kept for 64 times T1.
+#[test]
+fn requests_beyond_the_bound_are_not_taken_and_those_taken_go_on() {
+    let mut udp = Side::new(Protocol::Udp);
+    for method in [Method::INVITE, Method::OPTIONS, Method::BYE] {
+        assert!(matches!(udp.take_request(method), Taken::Request(_)));
+    }
+    assert_eq!(udp.take_request(Method::REGISTER), Taken::Full);
+    assert_eq!(udp.take_request(Method::INVITE), Taken::Absorbed, "a retransmission");
+    assert!(matches!(udp.response("INVITE", 200), Taken::Stray));
+}
