Dial an exchange less that takes no connection while others to it are up

A log of each connection shows two things. An exchange that drains refuses new ones while the old are up, and was dialled again every 50 ms until its last one closed: net/exchanges.rs, redial, had a fixed wait where one is up, and refill wanted four even with no set-up to come. The rest are connections closed as idle after 3 s, replaced at once, with none open on them ('0 requests written to those'); left as they are.

Now one connection is wanted to an exchange that drains, and the wait doubles with each one that ends with nothing heard, until something is, or the list has news. The test fails without the change.

--- a/node/src/net/exchanges.rs
+++ b/node/src/net/exchanges.rs
@@ -16,12 +16,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Wait before an exchange that could not be reached is dialled again without a call for it; doubled up to
-/// the longest.
+/// Wait before an exchange that could not be reached is dialled again without a call for it, and before a
+/// connection is replaced that ended with nothing heard on it while others are up. Each time in a row doubles it,
+/// up to the longest.
 const REDIAL: Duration = Duration::from_millis(250);
-const REDIAL_MOST: Duration = Duration::from_secs(2);
-/// Wait before a connection is replaced that ended with nothing heard on it, where others are up.
 const REPLACE: Duration = Duration::from_millis(50);
+const REDIAL_MOST: Duration = Duration::from_secs(2);
 
 /// A set-up given up after this time, with nothing heard on its connection since, makes that suspect.
 const SILENT: Duration = Duration::from_millis(750);
@@ -49,7 +49,8 @@
     phase: Phase,
     /// The connections that new set-ups go on, up or on their way.
     links: Vec<Token>,
-    redial: Duration,
+    /// Connections in a row that ended with nothing heard.
+    failures: u32,
     /// A redial is set already.
     waiting: bool,
     /// Releases of calls that stand, with no connection to go on yet.
@@ -135,11 +136,12 @@
             addr,
             phase,
             links: Vec::new(),
-            redial: REDIAL,
+            failures: 0,
             waiting: false,
             unsent: Vec::new(),
         });
         peer.phase = phase;
+        (peer.failures, peer.waiting) = (0, false);
         let moved = peer.addr != addr;
         peer.addr = addr;
         if moved {
@@ -199,15 +201,16 @@
         links.iter().filter(|t| self.links.get(**t).is_some_and(|l| l.conn.is_up())).count()
     }
 
-    /// Makes sure that a connection is up or on its way, and several where one is up. While none is, one at a
-    /// time is tried.
+    /// Makes sure that a connection is up or on its way, and several where one is up and set-ups may come. While
+    /// none is, one at a time is tried.
     fn refill(&mut self, exchange: ExchangeId, cx: &mut Context) {
         loop {
-            let Some(have) = self.peers.get(&exchange).map(|p| p.links.len()) else {
+            let Some(peer) = self.peers.get(&exchange) else {
                 return;
             };
-            let want = if self.up(exchange) > 0 { self.limits.links() } else { 1 };
-            if have >= want || self.dial(exchange, cx).is_none() {
+            let several = peer.phase == Phase::InService && self.up(exchange) > 0;
+            let want = if several { self.limits.links() } else { 1 };
+            if peer.waiting || peer.links.len() >= want || self.dial(exchange, cx).is_none() {
                 return;
             }
         }
@@ -271,11 +274,10 @@
         let up = self.up(exchange) > 0;
         if let Some(peer) = self.peers.get_mut(&exchange).filter(|p| !p.waiting) {
             peer.waiting = true;
-            let wait = if up { REPLACE } else { peer.redial };
+            let first = if up { REPLACE } else { REDIAL };
+            let wait = (first * (1 << peer.failures.min(6))).min(REDIAL_MOST);
+            peer.failures += 1;
             cx.deadlines.set(cx.now + wait, Due::Redial(exchange));
-            if !up {
-                peer.redial = (peer.redial * 2).min(REDIAL_MOST);
-            }
         }
     }
 
@@ -482,7 +484,6 @@
             return;
         };
         if let Some(peer) = self.peers.get_mut(&exchange) {
-            peer.redial = REDIAL;
             for (until, release) in std::mem::take(&mut peer.unsent) {
                 if until > cx.now {
                     self.send(token, &release);
@@ -516,8 +517,11 @@
             return Ok(());
         };
         let exchange = link.exchange;
-        if let Some(link) = self.links.get_mut(token) {
+        if let Some(link) = self.links.get_mut(token).filter(|l| !l.heard) {
             link.heard = true;
+            if let Some(peer) = self.peers.get_mut(&exchange) {
+                peer.failures = 0;
+            }
         }
         let attempt = self.by_tag.get(&(exchange, message.tag.clone())).copied();
         // What answers a set-up comes on its own connection; on another it answers one given up there.
--- a/node/tests/lines.rs
+++ b/node/tests/lines.rs
@@ -285,6 +285,26 @@
     }
 }
 
+/// Guards against dialling an exchange over and over that drains and takes no connection any more: what stands
+/// there needs one, and that is up.
+#[test]
+fn an_exchange_that_drains_is_not_dialled_while_a_connection_to_it_is_up() {
+    let (mut node, mut links, journal, exchange) = wide_world();
+    let addr = exchange.local_addr().expect("an address");
+    let mut stream = journal.accept();
+    stream.say(&event(2, false, &[server("s-one", 1, "terminating", addr)]));
+    node.logged("list: event 2");
+    drop(links.pop());
+    node.logged("exchange-ended");
+    exchange.set_nonblocking(true).expect("a listener");
+    std::thread::sleep(Duration::from_millis(300));
+    assert!(exchange.accept().is_err(), "dialled");
+    // Once none is up, one is dialled for the releases to come.
+    drop(links);
+    exchange.set_nonblocking(false).expect("a listener");
+    exchange.accept().expect("a connection");
+}
+
 /// Guards against a group's state that is put back by an answer on its way since before the last change: the
 /// next call would be sent with no circuit free.
 #[test]
