Hold a connection that this side ended not against the exchange's reachability

Seen on reading: a set-up given up on a connection that is not up ends that connection (ClosedHere), and end() then told the engine that the exchange could not be reached, which starts the five seconds after which all calls that stand there are cut, unless a connection comes up before. net/exchanges.rs, end: only a connection that failed by itself says that now. The tests of set-ups that have not left pass through it.

--- a/node/src/net/exchanges.rs
+++ b/node/src/net/exchanges.rs
@@ -588,8 +588,10 @@
             let (name, open) = (cx.engine.name(exchange), link.open.len());
             cx.log.line(cx.now, "exchange-ended", format_args!("{name}: {end}, {open} open"));
         }
-        // A connection that could not be made says something of the exchange only where none is up.
-        let unreachable = !link.conn.is_up() && was_listed && self.up(exchange) == 0;
+        // A connection that could not be made says something of the exchange only where none is up, and where
+        // it was not this side that ended it.
+        let failed = !link.conn.is_up() && end != End::ClosedHere;
+        let unreachable = failed && was_listed && self.up(exchange) == 0;
         if unreachable {
             cx.engine.reachable(cx.now, exchange, Some(end), cx.deadlines);
         }
