--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -1,10 +1,13 @@
 //! The program as a process, and peers that follow a script. Every port is the system's choice.
 #![allow(dead_code)] // each test binary uses a part
 
+use slateshed::{DialledNumber, ExchangeNumber, Origin};
+use slateshed_node::engine::{Incoming, Offer};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Receiver};
 use std::time::{Duration, Instant};
@@ -40,6 +43,22 @@
     config.replace(r#""sockets":127"#, r#""sockets":1024"#)
 }
 
+/// A call to exchange 1, as a front hands it over.
+pub fn incoming(patience: Duration) -> Incoming {
+    let word = |w: &str| w.to_owned();
+    let (id, class, key, description) = (word("id"), word("voice"), word("7"), word("v=0"));
+    Incoming {
+        offer: Rc::new(Offer { id, class, key, description }),
+        class: 0,
+        dialled: DialledNumber(7),
+        patience,
+        destination: ExchangeNumber(1),
+        circuits: 1,
+        advice: None,
+        origin: Origin::Subscriber,
+    }
+}
+
 /// The program, ended with the test.
 pub struct Node {
     child: Child,
--- a/node/tests/engine.rs
+++ b/node/tests/engine.rs
@@ -6,7 +6,6 @@
 use slateshed_node::deadlines::Deadlines;
 use slateshed_node::end::End;
 use slateshed_node::engine::*;
-use std::rc::Rc;
 use std::time::Duration;
 
 fn ms(n: u64) -> Duration {
@@ -47,18 +46,7 @@
     }
 
     fn call(&mut self, patience: u64) -> CallToken {
-        let word = |w: &str| w.to_owned();
-        let (id, class, key, description) = (word("id"), word("voice"), word("7"), word("v=0"));
-        let new = Incoming {
-            offer: Rc::new(Offer { id, class, key, description }),
-            class: 0,
-            dialled: DialledNumber(7),
-            patience: ms(patience),
-            destination: ExchangeNumber(1),
-            circuits: 1,
-            advice: None,
-            origin: Origin::Subscriber,
-        };
+        let new = common::incoming(ms(patience));
         self.engine.call(self.now, new, &mut self.deadlines)
     }
 
--- a/node/tests/exchanges.rs
+++ b/node/tests/exchanges.rs
@@ -12,7 +12,6 @@
 use slateshed_node::net::{Context, Due};
 use std::io::Read;
 use std::net::{SocketAddr, TcpListener};
-use std::rc::Rc;
 use std::time::Duration;
 
 struct World {
@@ -77,18 +76,7 @@
     }
 
     fn call(&mut self) -> CallToken {
-        let word = |w: &str| w.to_owned();
-        let (id, class, key, description) = (word("id"), word("voice"), word("7"), word("v=0"));
-        let new = Incoming {
-            offer: Rc::new(Offer { id, class, key, description }),
-            class: 0,
-            dialled: DialledNumber(7),
-            patience: Duration::from_secs(3),
-            destination: ExchangeNumber(1),
-            circuits: 1,
-            advice: None,
-            origin: Origin::Subscriber,
-        };
+        let new = common::incoming(Duration::from_secs(3));
         let call = self.with(|_, cx| cx.engine.call(cx.now, new, cx.deadlines));
         self.carry_out();
         call
--- a/node/tests/lines.rs
+++ b/node/tests/lines.rs
@@ -15,6 +15,20 @@
     (Node::start(&config(journal.addr, &servers), None), exchange, journal)
 }
 
+/// The exchange answers a set-up, and its caller hears that the call stands.
+fn answer(link: &mut Lines, client: &mut Lines, tag: &str) {
+    link.say(&format!(r#"{{"verb":"STARTED","tag":"{tag}","opts":{{}},"blob":"b"}}"#));
+    let heard = client.hear();
+    assert!(heard.contains("STARTED") && heard.contains(tag), "{heard}");
+}
+
+/// A call stands.
+fn stand(link: &mut Lines, client: &mut Lines, tag: &str) {
+    client.start(tag, 3000, 1);
+    assert_eq!(link.hear_start(), tag);
+    answer(link, client, tag);
+}
+
 #[test]
 fn a_call_stands_and_its_release_comes_on_the_next_connection() {
     let (mut node, exchange, _journal) = world();
@@ -162,8 +176,7 @@
     assert_eq!(link.hear_start(), TAG);
     other.start(TAG, 2000, 1);
     assert_eq!(other.hear(), "", "closed");
-    link.say(&format!(r#"{{"verb":"STARTED","tag":"{TAG}","opts":{{}},"blob":"b"}}"#));
-    assert!(client.hear().contains("STARTED"));
+    answer(&mut link, &mut client, TAG);
 }
 
 /// Guards against clients that hold a connection and say nothing, or not enough, and against closing on a caller
@@ -173,10 +186,7 @@
     let (mut node, exchange, _journal) = world();
     let mut link = Lines::accept(&exchange);
     let mut caller = node.client();
-    caller.start(TAG, 3000, 1);
-    link.hear_start();
-    link.say(&format!(r#"{{"verb":"STARTED","tag":"{TAG}","opts":{{}},"blob":"b"}}"#));
-    assert!(caller.hear().contains("STARTED"));
+    stand(&mut link, &mut caller, TAG);
     let (mut mute, mut half, mut unknown, mut back) =
         (node.client(), node.client(), node.client(), node.client());
     half.raw(br#"{"verb":"START","tag":"9b"#);
@@ -205,10 +215,7 @@
     let (mut node, exchange, _journal) = world();
     let mut link = Lines::accept(&exchange);
     let mut caller = node.client();
-    caller.start(TAG, 3000, 1);
-    link.hear_start();
-    link.say(&format!(r#"{{"verb":"STARTED","tag":"{TAG}","opts":{{}},"blob":"b"}}"#));
-    assert!(caller.hear().contains("STARTED"));
+    stand(&mut link, &mut caller, TAG);
     // More than the 63 connections that this configuration leaves for clients.
     let mut crowd: Vec<_> = (0..120).map(|_| node.client()).collect();
     assert_eq!(crowd[0].hear(), "", "the one silent for longest made way");
@@ -274,14 +281,12 @@
         let begun = Instant::now();
         links[bad].raw(spoilt);
         assert_eq!(links[bad].hear(), "", "closed");
-        links[good].say(&format!(r#"{{"verb":"STARTED","tag":"{tag}","opts":{{}},"blob":"b"}}"#));
-        assert!(client.hear().contains(&tag));
+        answer(&mut links[good], &mut client, &tag);
         links.remove(bad);
         let (again, tag) = heard_on(&mut links);
         assert_eq!(tag, TAG);
         assert!(begun.elapsed() >= Duration::from_millis(500), "within the wait for release");
-        links[again].say(&format!(r#"{{"verb":"STARTED","tag":"{TAG}","opts":{{}},"blob":"b"}}"#));
-        assert!(client.hear().contains(TAG));
+        answer(&mut links[again], &mut client, TAG);
     }
 }
 
@@ -342,8 +347,7 @@
     }
     assert_eq!(silent.hear(), "", "closed");
     let (again, _) = heard_on(&mut links);
-    links[again].say(&format!(r#"{{"verb":"STARTED","tag":"{TAG}","opts":{{}},"blob":"b"}}"#));
-    assert!(client.hear().contains("STARTED"));
+    answer(&mut links[again], &mut client, TAG);
 }
 
 /// Guards against running out of descriptors: idle clients make way, and the program goes on.
@@ -414,8 +418,7 @@
     assert_eq!(stream.hear(), "", "the old stream is closed");
     moved.say(&event(3, false, &[server("s-one", 1, "terminating", addr)]));
     node.logged("list: event 3");
-    link.say(&format!(r#"{{"verb":"STARTED","tag":"{TAG}","opts":{{}},"blob":"b"}}"#));
-    assert!(client.hear().contains("STARTED"));
+    answer(&mut link, &mut client, TAG);
     // A stream that breaks is opened again there too.
     drop(moved);
     assert_eq!(next.accept().hear(), "tail 3");
