Spare the connection of a call that stands when a crowd comes in one turn

Seen: in_a_crowd_a_caller_whose_call_stands_keeps_its_connection failed once in eight runs of the tests with two at a time. At fault: net/clients.rs, make_way, left out connections taken in within the same turn before it ranked the rest, so that a crowd larger than the room, all accepted in one turn, cost the caller with a call that stands its connection. Eight runs, two at a time, pass.

--- a/node/src/net/clients.rs
+++ b/node/src/net/clients.rs
@@ -150,12 +150,13 @@
 
     /// Closes a connection that nobody is owed an answer on: first one that never had an answer, then one whose
     /// calls are all over, then one with calls that stand, and of these the one idle for longest. Those that ask
-    /// once and stay lose their connection before any that still has a release to hear. One that was taken in
-    /// just now has had no chance to speak. False if there is none.
+    /// once and stay lose their connection before any that still has a release to hear. False if there is none,
+    /// or if the first in turn was taken in just now: it has had no chance to speak, and costs nobody else his.
     fn make_way(&mut self, cx: &mut Context) -> bool {
-        let idle = self.conns.iter().filter(|(_, c)| c.open == 0 && c.last_heard < cx.now);
+        let idle = self.conns.iter().filter(|(_, c)| c.open == 0);
         let rank = |c: &Client| (c.answered, c.standing > 0, c.last_heard);
-        let Some(token) = idle.min_by_key(|(_, c)| rank(c)).map(|(token, _)| token) else {
+        let first = idle.min_by_key(|(_, c)| rank(c)).filter(|(_, c)| c.last_heard < cx.now);
+        let Some(token) = first.map(|(token, _)| token) else {
             return false;
         };
         self.end(token, End::ClosedHere, cx);
