Let operators ask a call controller, drain it, and replace its process

At fault: net/mod.rs bound config.listen, which the platform holds, and nothing listened at admin_addr.

Now net/operators.rs answers HEALTH, DUMP, LEAVE and JOIN, net/duty.rs holds what a drain and a stop mean for both fronts, net/inherited.rs takes over the socket named by ROUTER_SOCKET_FD, and the engine counts.

So one is kept while its calls stand. - A release went to the probe's connection, since clients.rs way_back took any connection with an answer for a caller's; and all releases of a second went again with each connection closed. Now only callers are told, and what FINISHED has confirmed is not sent again. - All set-ups after the front has noticed are calls in transit, on new connections.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -73,6 +73,16 @@
         Bounds { line, waiting: lines::LIMIT }
     }
 
+    /// Connections of operators. Silent ones make way beyond this.
+    pub fn operators(&self) -> usize {
+        (self.sockets / 16).clamp(4, 32)
+    }
+
+    /// A connection of an operator: the calls are short, and so are the answers.
+    pub fn operator_bounds(&self) -> Bounds {
+        Bounds { line: 256, waiting: 4 * lines::LIMIT }
+    }
+
     /// Streams of the SIP front.
     pub fn sip_streams(&self) -> usize {
         self.sockets / 4
@@ -104,6 +114,10 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// The descriptor of the listening socket at that address, where the platform holds it and hands it down.
+    pub inherited: Option<u16>,
+    /// Where operators call; nowhere, should it be missing.
+    pub admin: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// What the process may hold.
@@ -172,7 +186,7 @@
         let path = var("ROUTER_CONFIG")?;
         let text = std::fs::read_to_string(&path).map_err(|e| format!("ROUTER_CONFIG: {path}: {e}"))?;
         let mut config = Self::parse(&text).map_err(|e| format!("ROUTER_CONFIG: {path}: {e}"))?;
-        // The environment repeats two of the keys; where it has them, it is right.
+        // The environment repeats some of the keys; where it has them, it is right.
         if let Ok(name) = std::env::var("ROUTER_NAME") {
             config.name = name;
         }
@@ -180,6 +194,14 @@
             config.listen =
                 listen.parse().map_err(|_| format!("ROUTER_LISTEN: {listen} is no address"))?;
         }
+        if let Ok(admin) = std::env::var("ROUTER_ADMIN_ADDR") {
+            let wrong = |_| format!("ROUTER_ADMIN_ADDR: {admin} is no address");
+            config.admin = Some(admin.parse().map_err(wrong)?);
+        }
+        if let Ok(descriptor) = std::env::var("ROUTER_SOCKET_FD") {
+            let wrong = |_| format!("ROUTER_SOCKET_FD: {descriptor} is no descriptor");
+            config.inherited = Some(descriptor.parse().map_err(wrong)?);
+        }
         if let Ok(path) = std::env::var("SLATESHED_OPERATOR") {
             let wrong = |e: String| format!("SLATESHED_OPERATOR: {path}: {e}");
             let text = std::fs::read_to_string(&path).map_err(|e| wrong(e.to_string()))?;
@@ -234,6 +256,8 @@
         Ok(Config {
             name: read::text(&root, "name")?.to_owned(),
             listen: address(&root, "listen")?,
+            inherited: None,
+            admin: read::at(&root, "admin_addr").map(|_| address(&root, "admin_addr")).transpose()?,
             seed,
             limits: Limits {
                 sockets: read::count(&root, "limits.sockets")? as usize,
--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -125,9 +125,36 @@
     Lost(ExchangeId, u64),
 }
 
+/// How many calls of a class have got which final answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Results {
+    /// The call stood.
+    pub succeeded: u64,
+    /// Refused.
+    pub declined: u64,
+    /// Failed.
+    pub aborted: u64,
+}
+
+/// What has been done since the start, and what there is now.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// Final answers, by class.
+    pub results: Vec<Results>,
+    /// Set-ups written whole to exchanges.
+    pub forwards: u64,
+    /// Calls taken and not ended.
+    pub outstanding: usize,
+    /// Exchanges in the list.
+    pub discovered: usize,
+    /// Of these the ones that the controller avoids.
+    pub ejected: usize,
+}
+
 #[derive(Debug)]
 struct Call {
     offer: Rc<Offer>,
+    class: usize,
     destination: ExchangeNumber,
     /// The final answer has been given before then.
     answer_by: Duration,
@@ -177,12 +204,15 @@
     commands: VecDeque<Command>,
     /// After a planned stop was asked for: no answer is owed beyond this.
     stop_by: Option<Duration>,
+    results: Vec<Results>,
+    forwards: u64,
 }
 
 impl Engine {
     /// An engine without calls.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         let stay_away = settings.retry_after;
+        let results = vec![Results::default(); settings.classes.len()];
         Ok(Engine {
             controller: Controller::new(settings, seed)?,
             stay_away,
@@ -195,6 +225,8 @@
             actions: Vec::new(),
             commands: VecDeque::new(),
             stop_by: None,
+            results,
+            forwards: 0,
         })
     }
 
@@ -229,6 +261,33 @@
         self.exchanges.len().max(self.names.len())
     }
 
+    /// The figures that operators ask for.
+    pub fn figures(&self) -> Figures {
+        Figures {
+            results: self.results.clone(),
+            forwards: self.forwards,
+            outstanding: self.calls.len(),
+            discovered: self.exchanges.values().filter(|e| e.phase != Phase::Gone).count(),
+            ejected: self.controller.avoided(),
+        }
+    }
+
+    /// A front has written so many set-ups whole.
+    pub fn forwarded(&mut self, set_ups: u64) {
+        self.forwards += set_ups;
+    }
+
+    /// A front has refused a call that never came to be one here.
+    pub fn turned_away(&mut self, class: usize) {
+        self.count(class, |r| &mut r.declined);
+    }
+
+    fn count(&mut self, class: usize, answer: impl FnOnce(&mut Results) -> &mut u64) {
+        if let Some(results) = self.results.get_mut(class) {
+            *answer(results) += 1;
+        }
+    }
+
     /// The exchange of a name, if the list has it.
     pub fn exchange(&self, name: &str) -> Option<ExchangeId> {
         self.names.get(name).copied()
@@ -264,6 +323,7 @@
         let answer_by = answer_by.max(now);
         let call = CallToken(self.calls.insert(Call {
             offer: new.offer,
+            class: new.class,
             destination: new.destination,
             answer_by,
             not_before: Duration::ZERO,
@@ -320,6 +380,9 @@
         let (call, number, delay) = (a.call, a.number, now.saturating_sub(a.sent));
         let (exchange, sent, direct) = (a.exchange, a.sent, a.direct);
         self.commands.push_back(Command::Answer(call, description));
+        if let Some(class) = self.calls.get(call.0).map(|c| c.class) {
+            self.count(class, |r| &mut r.succeeded);
+        }
         if direct {
             self.overtake(now, exchange, sent);
         }
@@ -498,7 +561,8 @@
             self.attempts_over(now, attempt, End::TimedOut, false);
             self.run(now, d);
         }
-        if self.calls.remove(call.0).is_some() {
+        if let Some(c) = self.calls.remove(call.0) {
+            self.count(c.class, |r| &mut r.declined);
             self.pending.push_back(Event::CallerGone(CallId(call.0.bits())));
             let stay = self.stay_away();
             self.commands.push_back(Command::Refuse(call, stay));
@@ -593,12 +657,14 @@
                 self.set_up(now, token(call), exchange, timeout, d)
             }
             Action::Refuse { call, retry_after } => {
-                if self.settle(token(call)) {
+                if let Some(class) = self.settle(token(call)) {
+                    self.count(class, |r| &mut r.declined);
                     self.commands.push_back(Command::Refuse(token(call), retry_after));
                 }
             }
             Action::Fail(call) => {
-                if self.settle(token(call)) {
+                if let Some(class) = self.settle(token(call)) {
+                    self.count(class, |r| &mut r.aborted);
                     self.commands.push_back(Command::Fail(token(call)));
                 }
             }
@@ -608,15 +674,14 @@
         }
     }
 
-    /// Takes a call out for its final answer; false if it had one. An attempt still out is given up.
-    fn settle(&mut self, call: CallToken) -> bool {
-        let Some(c) = self.calls.remove(call.0) else {
-            return false;
-        };
+    /// Takes a call out for its final answer, and gives its class; none if it had one. An attempt still out is
+    /// given up.
+    fn settle(&mut self, call: CallToken) -> Option<usize> {
+        let c = self.calls.remove(call.0)?;
         if let Some(a) = c.attempt.filter(|a| self.attempts.remove(a.0).is_some()) {
             self.commands.push_back(Command::GiveUp(a));
         }
-        true
+        Some(c.class)
     }
 
     fn set_up<D: From<Wake>>(
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod deadlines;
 pub mod end;
 pub mod engine;
+pub mod figures;
 pub mod log;
 pub mod net;
 pub mod slots;
--- a/node/src/net/clients.rs
+++ b/node/src/net/clients.rs
@@ -2,7 +2,7 @@
 
 use super::conn::Conn;
 use super::lines::{figure, is_hex, line, Message};
-use super::{Context, Due, Kind, SAY_WITHIN};
+use super::{duty, Context, Due, Kind, SAY_WITHIN};
 use crate::config::{Limits, Words};
 use crate::end::End;
 use crate::engine::{CallToken, Cause, Command, Incoming, Offer};
@@ -41,19 +41,39 @@
 struct Client {
     conn: Conn,
     peer: IpAddr,
+    since: Duration,
     /// Set-ups on it whose answer is owed.
     open: usize,
     /// Calls of it that stand: their end is told here.
     standing: usize,
     /// It has been given an answer, to a set-up or a test.
     answered: bool,
+    /// A set-up has come on it: whoever only tests is no caller, and has no use for a release.
+    calls: bool,
     /// Since when its next message has been awaited or unfinished; none between messages.
     awaited: Option<Duration>,
     /// A deadline is set for that.
     watched: bool,
     last_heard: Duration,
-    /// Releases sent on it lately: a close that they cross loses them.
-    released: Vec<(Duration, Vec<u8>)>,
+    /// Releases sent on it lately that have not been heard, with their ids: a close that they cross loses them.
+    released: Vec<(Duration, Release)>,
+}
+
+impl Client {
+    /// Whether a release sent on it may still be on its way.
+    fn is_releasing(&self, now: Duration) -> bool {
+        self.released.iter().any(|(at, _)| *at + MAY_CROSS > now)
+    }
+}
+
+/// The end of a call that stood, as its caller is told.
+struct Release {
+    tag: String,
+    /// Where its caller is.
+    host: IpAddr,
+    cause: u32,
+    /// Nobody can be told any more after this.
+    until: Duration,
 }
 
 struct Known {
@@ -66,15 +86,16 @@
 
 /// All client connections and the calls that came on them.
 pub struct Clients {
-    listener: TcpListener,
+    /// None once what arrives is left to another process.
+    listener: Option<TcpListener>,
     limits: Limits,
     conns: Slots<Client>,
     calls: HashMap<CallToken, Known>,
     /// Calls whose answer is owed.
     owed: usize,
     by_tag: HashMap<String, CallToken>,
-    /// Releases that found no connection, with the host that they are for.
-    unsent: VecDeque<(Duration, IpAddr, Vec<u8>)>,
+    /// Releases that found no connection.
+    unsent: VecDeque<Release>,
     doomed: Vec<(Token, End)>,
     /// Connections that had more to read than one turn allows.
     unread: Vec<Token>,
@@ -86,7 +107,7 @@
     /// Takes over the listener, which is registered already.
     pub fn new(listener: TcpListener, limits: Limits) -> Self {
         Clients {
-            listener,
+            listener: Some(listener),
             limits,
             conns: Slots::default(),
             calls: HashMap::new(),
@@ -109,6 +130,18 @@
         self.conns.iter().all(|(_, c)| c.conn.is_flushed())
     }
 
+    /// Whether no client is connected.
+    pub fn is_empty(&self) -> bool {
+        self.conns.is_empty()
+    }
+
+    /// Leaves what arrives from now on to the process that replaces this one.
+    pub fn leave_door(&mut self, cx: &mut Context) {
+        if let Some(mut listener) = self.listener.take() {
+            let _ = cx.registry.deregister(&mut listener);
+        }
+    }
+
     /// Accepts all that wait, as far as there is room. The rest wait on for a moment.
     pub fn accept(&mut self, cx: &mut Context) {
         if self.paused {
@@ -121,7 +154,10 @@
                 cx.log.line(cx.now, "accept-paused", format_args!("{held} clients"));
                 return self.pause(cx);
             }
-            match self.listener.accept() {
+            let Some(listener) = &self.listener else {
+                return;
+            };
+            match listener.accept() {
                 Ok((stream, peer)) => self.add(stream, peer.ip(), cx),
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
@@ -173,9 +209,11 @@
             Client {
                 conn: Conn::new(stream, bounds, true),
                 peer,
+                since: now,
                 open: 0,
                 standing: 0,
                 answered: false,
+                calls: false,
                 awaited: Some(now),
                 watched: true,
                 last_heard: now,
@@ -193,12 +231,12 @@
 
     /// Sends the releases that wait for a connection: those for a host, or all.
     fn send_kept(&mut self, token: Token, host: Option<IpAddr>, now: Duration) {
-        self.unsent.retain(|(until, ..)| *until > now);
-        for (until, peer, release) in std::mem::take(&mut self.unsent) {
-            if host.is_none_or(|h| h == peer) {
-                self.release(Some(token), peer, release, now);
+        self.unsent.retain(|r| r.until > now);
+        for release in std::mem::take(&mut self.unsent) {
+            if host.is_none_or(|h| h == release.host) {
+                self.release(Some(token), release, now);
             } else {
-                self.unsent.push_back((until, peer, release));
+                self.unsent.push_back(release);
             }
         }
     }
@@ -285,17 +323,24 @@
             "START" => self.start(token, message, cx),
             "FINISH" => {
                 if let Some(call) = self.by_tag.get(&message.tag).copied() {
+                    self.is_caller(token);
                     self.forget(call);
                     cx.engine.caller_ends(cx.now, call, cx.deadlines);
                 }
                 Ok(())
             }
             "ECHO" => {
-                let passed = u32::from(!cx.stopping);
+                let passed = u32::from(cx.duty.is_ready());
                 self.answer(token, &line("ECHOED", &message.tag, &[], Some(passed), None));
                 Ok(())
             }
-            "FINISHED" | "PENDING" => Ok(()),
+            "FINISHED" => {
+                if let Some(client) = self.conns.get_mut(token) {
+                    client.released.retain(|(_, r)| r.tag != message.tag);
+                }
+                Ok(())
+            }
+            "PENDING" => Ok(()),
             _ => Err(End::Garbage),
         }
     }
@@ -321,29 +366,40 @@
             Err(field) => {
                 // Its caller has an id to be answered by, so it costs the call and not the connection.
                 cx.log.line(cx.now, "set-up-malformed", format_args!("{tag}: {field}"));
-                client.answered = true;
-                self.send(token, &line("FINISH", &tag, &[], Some(FAILED), None));
+                self.answer(token, &line("FINISH", &tag, &[], Some(FAILED), None));
                 return Ok(());
             }
         };
-        if self.owed >= self.limits.calls() {
-            cx.log.line(cx.now, "too-many-calls", format_args!("{} owed", self.owed));
-            client.answered = true;
-            let wait = cx.engine.stay_away().map(|s| s.as_millis().to_string());
+        let drained =
+            matches!(cx.duty.clients(cx.now), duty::Clients::Refuse(old) if client.since < old);
+        if drained || self.owed >= self.limits.calls() {
+            if !drained {
+                cx.log.line(cx.now, "too-many-calls", format_args!("{} owed", self.owed));
+            }
+            cx.engine.turned_away(new.class);
+            // There is nothing to wait for at one that is drained: others take the call at once.
+            let wait = cx.engine.stay_away().filter(|_| !drained).map(|s| s.as_millis().to_string());
             let opts: Vec<_> = wait.iter().map(|w| ("wait", w.as_str())).collect();
-            self.send(token, &line("FINISH", &tag, &opts, Some(REFUSED), None));
-            return Ok(());
+            self.answer(token, &line("FINISH", &tag, &opts, Some(REFUSED), None));
+        } else {
+            client.open += 1;
+            self.owed += 1;
+            let call = cx.engine.call(cx.now, new, cx.deadlines);
+            self.by_tag.insert(tag.clone(), call);
+            self.calls.insert(call, Known { tag, conn: token, peer, owed: true, stands: false });
         }
-        client.open += 1;
-        self.owed += 1;
-        let call = cx.engine.call(cx.now, new, cx.deadlines);
-        self.by_tag.insert(tag.clone(), call);
-        self.calls.insert(call, Known { tag, conn: token, peer, owed: true, stands: false });
         // Callers are known by their calls: a release that waits may go to one.
+        self.is_caller(token);
         self.send_kept(token, None, cx.now);
         Ok(())
     }
 
+    fn is_caller(&mut self, token: Token) {
+        if let Some(client) = self.conns.get_mut(token) {
+            client.calls = true;
+        }
+    }
+
     /// Forgets a call that is over.
     fn forget(&mut self, call: CallToken) -> Option<Known> {
         self.settled(call, false);
@@ -394,37 +450,38 @@
                 let Some(k) = self.forget(call) else {
                     return;
                 };
-                let rc = if cause == Cause::Normal { ENDED } else { CUT };
-                let release = line("FINISH", &k.tag, &[], Some(rc), None);
+                let cause = if cause == Cause::Normal { ENDED } else { CUT };
                 let conn = self.way_back(k.conn, k.peer);
-                self.release(conn, k.peer, release, cx.now);
+                let release = Release { tag: k.tag, host: k.peer, cause, until: cx.now + RELEASE_KEPT };
+                self.release(conn, release, cx.now);
             }
             _ => {}
         }
     }
 
-    /// The connection for a release: the call's own, else the newest from the same host, else the newest that was
-    /// given an answer. One from elsewhere that never was may be anybody's.
-    fn way_back(&self, own: Token, peer: IpAddr) -> Option<Token> {
+    /// The connection for a release: the call's own, else the newest from the same host, else the newest on which
+    /// a call has come. Any other from elsewhere may be anybody's.
+    fn way_back(&self, own: Token, host: IpAddr) -> Option<Token> {
         if self.conns.get(own).is_some() {
             return Some(own);
         }
-        let callers = self.conns.iter().filter(|(_, c)| c.answered || c.peer == peer);
-        let rank = |c: &Client| (c.peer == peer, c.answered, c.last_heard);
+        let callers = self.conns.iter().filter(|(_, c)| c.calls || c.peer == host);
+        let rank = |c: &Client| (c.peer == host, c.calls, c.last_heard);
         callers.max_by_key(|(_, c)| rank(c)).map(|(token, _)| token)
     }
 
     /// Sends a release, or keeps it for the next connection.
-    fn release(&mut self, conn: Option<Token>, peer: IpAddr, release: Vec<u8>, now: Duration) {
+    fn release(&mut self, conn: Option<Token>, release: Release, now: Duration) {
         let Some((token, client)) = conn.and_then(|t| Some((t, self.conns.get_mut(t)?))) else {
             if self.unsent.len() >= MOST_UNSENT {
                 self.unsent.pop_front();
             }
-            return self.unsent.push_back((now + RELEASE_KEPT, peer, release));
+            return self.unsent.push_back(release);
         };
+        let bytes = line("FINISH", &release.tag, &[], Some(release.cause), None);
         client.released.retain(|(at, _)| *at + MAY_CROSS > now);
-        client.released.push((now, release.clone()));
-        self.send(token, &release);
+        client.released.push((now, release));
+        self.send(token, &bytes);
     }
 
     /// Sends an answer.
@@ -448,6 +505,22 @@
         for (token, end) in std::mem::take(&mut self.doomed) {
             self.end(token, end, cx);
         }
+        match cx.duty.clients(cx.now) {
+            duty::Clients::Stay => {}
+            duty::Clients::Close(old) | duty::Clients::Refuse(old) => self.close_idle(old, cx),
+        }
+    }
+
+    /// Closes the connections that have had their answers, on which no release is on its way, and that the end of a
+    /// call need not be told on. One that has not spoken yet is left its time to do so.
+    fn close_idle(&mut self, old: Duration, cx: &mut Context) {
+        let kept = self.conns.iter().any(|(_, c)| c.since < old && c.standing > 0);
+        let needed = |c: &Client| c.standing > 0 && !old.is_zero() && (c.since < old || !kept);
+        let settled = |c: &Client| c.answered && c.open == 0 && !needed(c) && !c.is_releasing(cx.now);
+        let idle = |c: &Client| settled(c) && c.conn.is_flushed() && !c.conn.has_part();
+        let idle = self.conns.iter().filter(|(token, c)| idle(c) && !self.unread.contains(token));
+        let idle: Vec<_> = idle.map(|(token, _)| token).collect();
+        idle.into_iter().for_each(|token| self.end(token, End::ClosedHere, cx));
     }
 
     /// Closing a connection gives up the set-ups that are open on it; what stands belongs to none.
@@ -460,8 +533,8 @@
             cx.log.line(cx.now, "client-ended", format_args!("{}: {end}", client.peer));
         }
         for (_, release) in client.released.into_iter().filter(|(at, _)| *at + MAY_CROSS > cx.now) {
-            let conn = self.way_back(token, client.peer);
-            self.release(conn, client.peer, release, cx.now);
+            let conn = self.way_back(token, release.host);
+            self.release(conn, release, cx.now);
         }
         if client.open > 0 {
             let open = self.calls.iter().filter(|(_, k)| k.conn == token && k.owed);
--- a/node/src/net/exchanges.rs
+++ b/node/src/net/exchanges.rs
@@ -71,6 +71,8 @@
     part_since: Option<Duration>,
     /// Ids of set-ups given up here of late: an answer that comes late is none to the next attempt.
     given_up: VecDeque<String>,
+    /// Where the set-ups end in the stream that are not written whole.
+    unwritten: VecDeque<u64>,
 }
 
 struct Sent {
@@ -257,6 +259,7 @@
                 missed: 0,
                 part_since: None,
                 given_up: VecDeque::new(),
+                unwritten: VecDeque::new(),
             }
         });
         if registered.is_err() {
@@ -388,8 +391,19 @@
         self.attempts.insert(attempt, Sent { offer, exchange, link: token, at, until, end_at, moves });
         if let Some(link) = self.links.get_mut(token) {
             link.open.push(attempt);
+            link.unwritten.push_back(end_at);
         }
         self.send(token, &bytes);
+        self.count_written(token, cx);
+    }
+
+    /// Counts the set-ups of a connection that have been written whole.
+    fn count_written(&mut self, token: Token, cx: &mut Context) {
+        if let Some(link) = self.links.get_mut(token) {
+            let written = link.unwritten.iter().take_while(|end| link.conn.has_written(**end)).count();
+            link.unwritten.drain(..written);
+            cx.engine.forwarded(written as u64);
+        }
     }
 
     /// Forgets an attempt that is over.
@@ -452,6 +466,10 @@
                 return Ok(());
             };
             link.conn.flush()?;
+            self.count_written(token, cx);
+            let Some(link) = self.links.get_mut(token) else {
+                return Ok(());
+            };
             let read = link.conn.fill();
             if matches!(read, Ok(n) if n > 0) {
                 link.last_heard = cx.now;
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -2,21 +2,27 @@
 
 pub mod clients;
 pub mod conn;
+pub mod duty;
 pub mod exchanges;
+pub mod inherited;
 pub mod journal;
 pub mod lines;
+pub mod operators;
 pub mod sip;
 
 use crate::config::{Config, News, Words};
 use crate::deadlines::Deadlines;
 use crate::engine::{Command, Engine, Wake};
+use crate::figures::{self, Reloads};
 use crate::log::Log;
 use crate::slots::Token;
 use clients::Clients;
+use duty::Duty;
 use exchanges::Exchanges;
 use journal::Journal;
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Registry};
+use operators::{Call, Operators};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
 use sip::{Sip, SipDue};
@@ -24,11 +30,6 @@
 use std::io::{self, ErrorKind};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// After a planned stop was asked for, connections and set-ups keep coming for this long.
-const STOP_TAKES: Duration = Duration::from_millis(800);
-/// All answers are out by then: well before the process may be killed.
-const STOP_BY: Duration = Duration::from_millis(3300);
-
 /// Whoever connects and has said nothing whole within this time is closed on, on either front; so is one whose
 /// message has begun and is not whole by then.
 pub const SAY_WITHIN: Duration = Duration::from_secs(2);
@@ -52,10 +53,14 @@
     SipListener,
     /// A stream of the SIP front.
     SipStream,
+    /// The listener for operators.
+    OperatorListener,
+    /// An operator's connection.
+    Operator,
 }
 
 impl Kind {
-    const ALL: [Kind; 8] = [
+    const ALL: [Kind; 10] = [
         Kind::Listener,
         Kind::Signals,
         Kind::Client,
@@ -64,6 +69,8 @@
         Kind::SipDatagrams,
         Kind::SipListener,
         Kind::SipStream,
+        Kind::OperatorListener,
+        Kind::Operator,
     ];
 
     /// The poll token of a slot.
@@ -104,8 +111,10 @@
     SipAccept,
     /// A stream of the SIP front should be up, or have been heard.
     SipStream(Token),
-    /// No set-up comes any more after a planned stop.
-    Stop,
+    /// Operators may be accepted again.
+    OperatorAccept,
+    /// An operator has had the time to ask.
+    Operator(Token),
 }
 
 impl From<Wake> for Due {
@@ -130,8 +139,8 @@
     pub registry: &'a Registry,
     /// How long a connection may take to come up.
     pub dial_timeout: Duration,
-    /// A planned stop was asked for.
-    pub stopping: bool,
+    /// Whether this process takes new work.
+    pub duty: Duty,
 }
 
 /// The clock of the program and of the decision module: steady, and counted from the Unix epoch, so that
@@ -161,7 +170,10 @@
     let mut signals = Signals::new([SIGHUP, SIGTERM, SIGINT])?;
     let none = Token::from_bits(0);
     poll.registry().register(&mut signals, Kind::Signals.token(none), Interest::READABLE)?;
-    let mut listener = TcpListener::bind(config.listen)?;
+    let mut listener = match config.inherited {
+        Some(descriptor) => TcpListener::from_std(inherited::listener(descriptor)?),
+        None => TcpListener::bind(config.listen)?,
+    };
     poll.registry().register(&mut listener, Kind::Listener.token(none), Interest::READABLE)?;
     let listen = listener.local_addr()?;
     let registry = poll.registry().try_clone()?;
@@ -178,8 +190,12 @@
         Some(sip) => Some(Sip::new(sip, config.seed, config.limits, &registry)?),
         None => None,
     };
-    let mut stop_at = None;
-    let mut settle_after = None;
+    let mut operators = match config.admin {
+        Some(admin) => Some(Operators::bind(admin, config.limits, &registry)?),
+        None => None,
+    };
+    let mut duty = Duty::new(config.inherited.is_some());
+    let mut reloads = Reloads::default();
     let mut changes: Vec<News> = config.known.clone();
     let mut started = false;
     loop {
@@ -192,7 +208,7 @@
             words: &config.words,
             registry: &registry,
             dial_timeout: config.dial_timeout,
-            stopping: stop_at.is_some(),
+            duty,
         };
         if !started {
             started = true;
@@ -201,10 +217,15 @@
             if let Some(sip) = &sip {
                 cx.log.line(now, "sip-started", format_args!("listening on {}", sip.listens()));
             }
+            if let Some(operators) = &operators {
+                let listen = operators.listens()?;
+                cx.log.line(now, "operators-started", format_args!("listening on {listen}"));
+            }
         }
         clients.read_on(&mut cx);
         exchanges.read_on(&mut cx);
         sip.iter_mut().for_each(|s| s.read_on(&mut cx));
+        operators.iter_mut().for_each(|o| o.read_on(&mut cx));
         for event in &events {
             match Kind::split(event.token()) {
                 (Some(Kind::Listener), _) => clients.accept(&mut cx),
@@ -219,19 +240,37 @@
                         if signal == SIGHUP {
                             // A file that is wrong, or gone, changes nothing.
                             match read() {
-                                Ok(new) => journal.switch(new.journal, &mut cx),
-                                Err(e) => cx.log.line(now, "reload-failed", e),
+                                Ok(new) => {
+                                    reloads.applied += 1;
+                                    journal.switch(new.journal, &mut cx);
+                                }
+                                Err(e) => {
+                                    reloads.rejected += 1;
+                                    cx.log.line(now, "reload-failed", e);
+                                }
                             }
-                        } else if stop_at.is_none() {
-                            stop_at = Some(now);
-                            cx.stopping = true;
+                        } else if let Some(by) = cx.duty.stop(now) {
                             let owed = cx.engine.owed();
                             cx.log.line(now, "stopping", format_args!("{owed} answers owed"));
-                            cx.deadlines.set(now + STOP_TAKES, Due::Stop);
-                            cx.engine.stop(now + STOP_BY, cx.deadlines);
+                            cx.engine.stop(by, cx.deadlines);
+                            if cx.duty.leaves_door() {
+                                clients.leave_door(&mut cx);
+                            }
                         }
                     }
                 }
+                (Some(Kind::OperatorListener), _) => {
+                    operators.iter_mut().for_each(|o| o.accept(&mut cx));
+                }
+                (Some(Kind::Operator), token) => {
+                    let Some(operators) = operators.as_mut() else {
+                        continue;
+                    };
+                    if let Some(call) = operators.ready(token, &mut cx) {
+                        let answer = answer(call, reloads, &mut cx);
+                        operators.answer(token, &answer, &mut cx);
+                    }
+                }
                 (None, _) => {}
             }
         }
@@ -267,10 +306,11 @@
                 Due::Sip(due) => sip.iter_mut().for_each(|s| s.due(due, &mut cx)),
                 Due::SipAccept => sip.iter_mut().for_each(|s| s.accept(&mut cx)),
                 Due::SipStream(token) => sip.iter_mut().for_each(|s| s.stream_due(token, &mut cx)),
-                Due::Stop => settle_after = Some(now),
+                Due::OperatorAccept => operators.iter_mut().for_each(|o| o.accept(&mut cx)),
+                Due::Operator(token) => operators.iter_mut().for_each(|o| o.due(token, &mut cx)),
             }
         }
-        if settle_after.is_some() && cx.engine.owed() == 0 {
+        if cx.duty.may_end(now) && cx.engine.owed() == 0 {
             sip.iter_mut().for_each(|s| s.end_dialogs(&mut cx));
         }
         loop {
@@ -300,20 +340,24 @@
                 break;
             }
         }
-        if settle_after.is_some() && cx.engine.owed() == 0 {
+        if cx.duty.may_end(now) && cx.engine.owed() == 0 {
             let sip_settled = sip.as_ref().is_none_or(Sip::is_settled);
-            let flushed = clients.is_flushed() && exchanges.is_flushed() && sip_settled;
-            let overdue = stop_at.is_some_and(|at| now >= at + STOP_BY + STOP_TAKES);
-            if flushed || overdue {
+            let told = operators.as_ref().is_none_or(Operators::is_flushed);
+            let flushed = clients.is_flushed() && exchanges.is_flushed() && sip_settled && told;
+            let gone = !cx.duty.leaves_door() || clients.is_empty();
+            if flushed && gone || cx.duty.must_end(now) {
                 cx.log.line(now, "stopped", format_args!("{} calls stand", cx.engine.standing()));
                 return Ok(());
             }
         }
-        let wait = deadlines.next().map(|at| at.saturating_sub(clock.now()));
+        duty = cx.duty;
+        let next = deadlines.next().into_iter().chain(duty.next(now)).min();
+        let wait = next.map(|at| at.saturating_sub(clock.now()));
         // Rounded up, since a poll that ends early would only spin.
         let wait = wait.map(|w| w + Duration::from_micros(999)).map(|w| w.min(Duration::from_secs(1)));
         // Who has more to say than a turn allows goes on once the others have been heard.
         let unread = clients.has_unread() || exchanges.has_unread();
+        let unread = unread || operators.as_ref().is_some_and(Operators::has_unread);
         let unread = unread || sip.as_ref().is_some_and(Sip::has_unread);
         let wait = if unread { Some(Duration::ZERO) } else { wait };
         match poll.poll(&mut events, wait) {
@@ -322,3 +366,26 @@
         }
     }
 }
+
+/// Carries out what an operator asks for; the answer.
+fn answer(call: Call, reloads: Reloads, cx: &mut Context) -> String {
+    let now = cx.now;
+    match call {
+        Call::Health if cx.duty.is_stopping() => "error stopping\n".to_owned(),
+        Call::Health => "done\n".to_owned(),
+        Call::Dump => {
+            format!("{}\nend\n", figures::json(&cx.engine.figures(), reloads, &cx.words.classes))
+        }
+        Call::Leave => {
+            cx.log.line(now, "drained", format_args!("{} answers owed", cx.engine.owed()));
+            cx.duty.drain(now);
+            "done\n".to_owned()
+        }
+        Call::Join if cx.duty.is_stopping() => "error stopping\n".to_owned(),
+        Call::Join => {
+            cx.log.line(now, "joined", "at work again");
+            cx.duty.join();
+            "done\n".to_owned()
+        }
+    }
+}
--- a/node/src/net/sip/commands.rs
+++ b/node/src/net/sip/commands.rs
@@ -105,6 +105,7 @@
         let sent = Rc::new(dialog.sent(&uri, &via));
         let to = (target, Some(Rc::clone(&sent)));
         let tx = self.transactions.request(cx.now, "INVITE", &branch, bytes, to, &mut self.output);
+        cx.engine.forwarded(1);
         let key = (dialog.call_id.clone(), tag);
         let leg = self.legs.insert(Leg {
             party: Party::Exchange(attempt),
--- a/node/src/net/sip/incoming.rs
+++ b/node/src/net/sip/incoming.rs
@@ -50,6 +50,9 @@
                 } else if method == Method::INVITE {
                     // The description of a standing call is not changed.
                     respond(self, if leg.is_some() { 488 } else { 481 }, &[]);
+                } else if method == Method::OPTIONS && !cx.duty.is_ready() {
+                    // Who asks in turn sends its calls elsewhere; those that come all the same are taken.
+                    respond(self, 503, &[]);
                 } else if method == Method::OPTIONS {
                     respond(self, 200, &[("Allow", ALLOW), ("Accept", "application/sdp")]);
                 } else {
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -5,6 +5,7 @@
 use slateshed_node::engine::{Incoming, Offer};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
@@ -43,6 +44,11 @@
     config.replace(r#""sockets":127"#, r#""sockets":1024"#)
 }
 
+/// A configuration with an address for operators.
+pub fn operated(config: &str) -> String {
+    config.replacen('{', r#"{"admin_addr":"127.0.0.1:0","#, 1)
+}
+
 /// A call to exchange 1, as a front hands it over.
 pub fn incoming(patience: Duration) -> Incoming {
     let word = |w: &str| w.to_owned();
@@ -81,12 +87,26 @@
         Self::start_with(command, config, None)
     }
 
+    /// The same with the clients' listening socket handed down, as the platform does.
+    pub fn start_on(config: &str, socket: &TcpListener) -> Self {
+        let mut command = Command::new("/bin/sh");
+        command.args(["-c", "exec 7<&0 </dev/null; export ROUTER_SOCKET_FD=7; exec \"$0\""]);
+        command.arg(env!("CARGO_BIN_EXE_slateshed"));
+        command.stdin(Stdio::from(OwnedFd::from(socket.try_clone().expect("a copy"))));
+        Self::start_as(command, config, None)
+    }
+
     fn start_with(mut command: Command, config: &str, operator: Option<&str>) -> Self {
+        command.stdin(Stdio::null());
+        Self::start_as(command, config, operator)
+    }
+
+    fn start_as(mut command: Command, config: &str, operator: Option<&str>) -> Self {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let next = NEXT.fetch_add(1, Ordering::Relaxed);
         let dir = std::env::temp_dir().join(format!("slateshed-{}-{next}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a folder");
-        command.env_clear().stderr(Stdio::piped()).stdin(Stdio::null());
+        command.env_clear().stderr(Stdio::piped());
         std::fs::write(dir.join("config.json"), config).expect("a file");
         command.env("ROUTER_CONFIG", dir.join("config.json"));
         if let Some(text) = operator {
@@ -118,6 +138,20 @@
         Lines::new(TcpStream::connect(addr).expect("the program listens"))
     }
 
+    /// A connection to where operators call.
+    pub fn operator(&mut self) -> Lines {
+        let addr: SocketAddr =
+            self.logged("operators-started: listening on ").parse().expect("an address");
+        Lines::new(TcpStream::connect(addr).expect("the program listens"))
+    }
+
+    /// What an operator is answered.
+    pub fn ask(&mut self, call: &str) -> Vec<String> {
+        let mut operator = self.operator();
+        operator.say(call);
+        std::iter::repeat_with(|| operator.hear()).take_while(|l| !l.is_empty()).collect()
+    }
+
     /// The address of a transport of the SIP front.
     pub fn sip(&mut self, protocol: &str) -> SocketAddr {
         let on = self.logged("sip-started: listening on ");
@@ -225,6 +259,14 @@
         heard.then(|| line.trim_end().to_owned())
     }
 
+    /// Whether a test is passed.
+    pub fn test(&mut self) -> bool {
+        self.say(r#"{"verb":"ECHO","tag":"e","opts":{},"rc":0}"#);
+        let heard = self.hear();
+        assert!(heard.contains("ECHOED"), "{heard}");
+        heard.contains(r#""rc":1"#)
+    }
+
     pub fn start(&mut self, tag: &str, left: u32, dest: u32) {
         self.say(&format!(
             r#"{{"verb":"START","tag":"{tag}","opts":{{"class":"voice","left":"{left}","key":"{tag}","extras":"dest:{dest};width:1;via:-1"}},"blob":"v=0\r\nm=audio \"{tag}\"\r\n"}}"#
@@ -426,3 +468,17 @@
     let to = header(response, "To");
     to[to.find(";tag=").expect("a tag")..].to_owned()
 }
+
+/// The exchange answers a set-up, and its caller hears that the call stands.
+pub fn answer(link: &mut Lines, client: &mut Lines, tag: &str) {
+    link.say(&format!(r#"{{"verb":"STARTED","tag":"{tag}","opts":{{}},"blob":"b"}}"#));
+    let heard = client.hear();
+    assert!(heard.contains("STARTED") && heard.contains(tag), "{heard}");
+}
+
+/// A call stands.
+pub fn stand(link: &mut Lines, client: &mut Lines, tag: &str) {
+    client.start(tag, 3000, 1);
+    assert_eq!(link.hear_start(), tag);
+    answer(link, client, tag);
+}
--- a/node/tests/exchanges.rs
+++ b/node/tests/exchanges.rs
@@ -8,6 +8,7 @@
 use slateshed_node::deadlines::Deadlines;
 use slateshed_node::engine::*;
 use slateshed_node::log::Log;
+use slateshed_node::net::duty::Duty;
 use slateshed_node::net::exchanges::Exchanges;
 use slateshed_node::net::{Context, Due};
 use std::io::Read;
@@ -53,7 +54,7 @@
             words: &self.words,
             registry: self.poll.registry(),
             dial_timeout: Duration::from_millis(500),
-            stopping: false,
+            duty: Duty::new(false),
         };
         then(&mut self.exchanges, &mut cx)
     }
--- a/node/tests/lines.rs
+++ b/node/tests/lines.rs
@@ -15,20 +15,6 @@
     (Node::start(&config(journal.addr, &servers), None), exchange, journal)
 }
 
-/// The exchange answers a set-up, and its caller hears that the call stands.
-fn answer(link: &mut Lines, client: &mut Lines, tag: &str) {
-    link.say(&format!(r#"{{"verb":"STARTED","tag":"{tag}","opts":{{}},"blob":"b"}}"#));
-    let heard = client.hear();
-    assert!(heard.contains("STARTED") && heard.contains(tag), "{heard}");
-}
-
-/// A call stands.
-fn stand(link: &mut Lines, client: &mut Lines, tag: &str) {
-    client.start(tag, 3000, 1);
-    assert_eq!(link.hear_start(), tag);
-    answer(link, client, tag);
-}
-
 #[test]
 fn a_call_stands_and_its_release_comes_on_the_next_connection() {
     let (mut node, exchange, _journal) = world();
--- a/src/control.rs
+++ b/src/control.rs
@@ -321,6 +321,12 @@
         &self.settings
     }
 
+    /// Listed processors that get no ordinary set-up now: shut ones, as last judged, and those that drain.
+    pub fn avoided(&self) -> usize {
+        let avoided = |f: &&Far| f.phase == Phase::Draining || f.phase == Phase::InService && f.est.shut;
+        self.far.values().filter(avoided).count()
+    }
+
     /// Takes in one event and appends what is to be done. `now` never goes back.
     pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
         let before = self.now;
