Bound the connections accepted in a turn, and make way only for one that is there

Seen on reading net/clients.rs and net/sip/transport.rs: accept went on for as long as connections came, so that a flood had the loop to itself; and at the limit make_way closed a connection before accept had found one, so that each turn that accepted cost one more than came. Now 64 are accepted in a turn and the rest in the next, on all three listeners, and who came is accepted before anybody makes way for it; only at the upper limit is room made first.

The tests of a peer's module by itself share their parts now (tests/common, Parts).

--- a/node/src/net/clients.rs
+++ b/node/src/net/clients.rs
@@ -2,7 +2,7 @@
 
 use super::conn::Conn;
 use super::lines::{figure, is_hex, line, Message};
-use super::{duty, Context, Due, Kind, SAY_WITHIN};
+use super::{duty, Context, Due, Kind, ACCEPTS, SAY_WITHIN};
 use crate::config::{Limits, Words};
 use crate::end::End;
 use crate::engine::{CallToken, Cause, Command, Incoming, Offer};
@@ -101,6 +101,8 @@
     unread: Vec<Token>,
     /// There is no room, so nothing is accepted for a moment.
     paused: bool,
+    /// More may wait to be accepted than one turn allows.
+    unaccepted: bool,
 }
 
 impl Clients {
@@ -117,6 +119,7 @@
             doomed: Vec::new(),
             unread: Vec::new(),
             paused: false,
+            unaccepted: false,
         }
     }
 
@@ -147,15 +150,14 @@
         }
     }
 
-    /// Accepts all that wait, as far as there is room. The rest wait on for a moment.
+    /// Accepts those that wait, as far as there is room and the turn allows. The rest wait on for a moment.
     pub fn accept(&mut self, cx: &mut Context) {
         if self.paused {
             return;
         }
-        loop {
+        for _ in 0..ACCEPTS {
             let held = self.conns.len();
-            let stuck = held >= self.limits.clients() && !self.make_way(cx);
-            if stuck && held >= self.limits.most_clients() {
+            if held >= self.limits.most_clients() && !self.make_way(cx) {
                 cx.log.line(cx.now, "accept-paused", format_args!("{held} clients"));
                 return self.pause(cx);
             }
@@ -163,7 +165,12 @@
                 return;
             };
             match listener.accept() {
-                Ok((stream, peer)) => self.add(stream, peer.ip(), cx),
+                Ok((stream, peer)) => {
+                    if held >= self.limits.clients() {
+                        self.make_way(cx);
+                    }
+                    self.add(stream, peer.ip(), cx);
+                }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::ConnectionAborted => {}
@@ -176,6 +183,7 @@
                 }
             }
         }
+        self.unaccepted = true;
     }
 
     /// The pause is over.
@@ -267,13 +275,16 @@
         cx.deadlines.set(next, Due::Client(token));
     }
 
-    /// Whether a connection has more to read than its last turn allowed.
+    /// Whether a connection has more to read than its last turn allowed, or more wait to be accepted.
     pub fn has_unread(&self) -> bool {
-        !self.unread.is_empty()
+        !self.unread.is_empty() || self.unaccepted
     }
 
-    /// Reads on where the last turn left off.
+    /// Accepts and reads on where the last turn left off.
     pub fn read_on(&mut self, cx: &mut Context) {
+        if std::mem::take(&mut self.unaccepted) {
+            self.accept(cx);
+        }
         for token in std::mem::take(&mut self.unread) {
             self.ready(token, cx);
         }
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -34,6 +34,9 @@
 /// message has begun and is not whole by then. Some take two seconds to write one.
 pub const SAY_WITHIN: Duration = Duration::from_millis(2700);
 
+/// Connections accepted in one turn, on any listener. The rest are in the next, after all others have had theirs.
+const ACCEPTS: usize = 64;
+
 /// What a poll token belongs to; the rest of it is a slot token.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
--- a/node/src/net/operators.rs
+++ b/node/src/net/operators.rs
@@ -1,7 +1,7 @@
 //! Where operators call: one line a connection, answered at once.
 
 use super::conn::Conn;
-use super::{Context, Due, Kind, SAY_WITHIN};
+use super::{Context, Due, Kind, ACCEPTS, SAY_WITHIN};
 use crate::config::Limits;
 use crate::end::End;
 use crate::slots::{Slots, Token};
@@ -11,8 +11,6 @@
 use std::net::{Shutdown, SocketAddr};
 use std::time::Duration;
 
-/// Connections accepted in one turn.
-const ACCEPTS: usize = 64;
 /// Wait before accepting again when there is no descriptor.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
--- a/node/src/net/sip/mod.rs
+++ b/node/src/net/sip/mod.rs
@@ -214,6 +214,7 @@
         if std::mem::take(&mut self.more_datagrams) {
             self.datagrams(cx);
         }
+        self.transport.accept_on(cx);
         for token in self.transport.unread() {
             self.stream(token, cx);
         }
--- a/node/src/net/sip/transport.rs
+++ b/node/src/net/sip/transport.rs
@@ -5,7 +5,7 @@
 use crate::config::Limits;
 use crate::end::End;
 use crate::net::conn::Conn;
-use crate::net::{Context, Due, Kind, SAY_WITHIN};
+use crate::net::{Context, Due, Kind, ACCEPTS, SAY_WITHIN};
 use crate::slots::{Slots, Token};
 use mio::net::{TcpListener, TcpStream, UdpSocket};
 use mio::Interest;
@@ -41,6 +41,8 @@
     doomed: Vec<(Token, End)>,
     /// Streams that had more to read than one turn allows.
     unread: Vec<Token>,
+    /// More may wait to be accepted than one turn allows.
+    unaccepted: bool,
 }
 
 impl Transport {
@@ -62,7 +64,8 @@
         }
         let (streams, doomed, unread) = (Slots::default(), Vec::new(), Vec::new());
         let buffer = vec![0; message::LIMIT + 1];
-        Ok(Transport { udp, tcp, streams, limits, buffer, doomed, unread })
+        let unaccepted = false;
+        Ok(Transport { udp, tcp, streams, limits, buffer, doomed, unread, unaccepted })
     }
 
     /// The own address of a transport.
@@ -88,9 +91,9 @@
         }
     }
 
-    /// Accepts all streams that wait.
+    /// Accepts the streams that wait, as far as the turn allows.
     pub fn accept(&mut self, cx: &mut Context) {
-        loop {
+        for _ in 0..ACCEPTS {
             let Some(listener) = &self.tcp else {
                 return;
             };
@@ -106,6 +109,7 @@
                 }
             }
         }
+        self.unaccepted = true;
     }
 
     /// Closes the stream that has said nothing for longest since it was accepted.
@@ -203,9 +207,16 @@
         (messages, end)
     }
 
-    /// Whether a stream has more to read than its last turn allowed.
+    /// Whether a stream has more to read than its last turn allowed, or more wait to be accepted.
     pub fn has_unread(&self) -> bool {
-        !self.unread.is_empty()
+        !self.unread.is_empty() || self.unaccepted
+    }
+
+    /// Accepts on where the last turn left off.
+    pub fn accept_on(&mut self, cx: &mut Context) {
+        if std::mem::take(&mut self.unaccepted) {
+            self.accept(cx);
+        }
     }
 
     /// The streams that had more to read than their last turn allowed.
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -1,8 +1,14 @@
 //! The program as a process, and peers that follow a script. Every port is the system's choice.
 #![allow(dead_code)] // each test binary uses a part
 
+use mio::Poll;
 use slateshed::{DialledNumber, ExchangeNumber, Origin};
-use slateshed_node::engine::{Incoming, Offer};
+use slateshed_node::config::{Config, Limits, Words};
+use slateshed_node::deadlines::Deadlines;
+use slateshed_node::engine::{Engine, Incoming, Offer};
+use slateshed_node::log::Log;
+use slateshed_node::net::duty::Duty;
+use slateshed_node::net::{Context, Due};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::fd::OwnedFd;
@@ -65,6 +71,44 @@
     }
 }
 
+/// What a peer's module needs, where it is tested without the loop.
+pub struct Parts {
+    pub poll: Poll,
+    pub engine: Engine,
+    pub limits: Limits,
+    deadlines: Deadlines<Due>,
+    log: Log,
+    words: Words,
+}
+
+impl Parts {
+    pub fn new() -> Self {
+        let nowhere = ([127, 0, 0, 1], 1).into();
+        let config = Config::parse(&config(nowhere, &[])).expect("a configuration");
+        Parts {
+            poll: Poll::new().expect("a poll"),
+            engine: Engine::new(config.settings, 7).expect("settings make sense"),
+            limits: config.limits,
+            deadlines: Deadlines::default(),
+            log: Log::new("n0"),
+            words: config.words,
+        }
+    }
+
+    pub fn context(&mut self) -> Context<'_> {
+        Context {
+            now: Duration::from_secs(1000),
+            engine: &mut self.engine,
+            deadlines: &mut self.deadlines,
+            log: &mut self.log,
+            words: &self.words,
+            registry: self.poll.registry(),
+            dial_timeout: Duration::from_millis(500),
+            duty: Duty::new(false, Duration::ZERO),
+        }
+    }
+}
+
 /// The program, ended with the test.
 pub struct Node {
     child: Child,
--- a/node/tests/exchanges.rs
+++ b/node/tests/exchanges.rs
@@ -2,26 +2,18 @@
 
 mod common;
 
-use mio::Poll;
+use common::Parts;
 use slateshed::*;
-use slateshed_node::config::{Config, Words};
-use slateshed_node::deadlines::Deadlines;
 use slateshed_node::engine::*;
-use slateshed_node::log::Log;
-use slateshed_node::net::duty::Duty;
 use slateshed_node::net::exchanges::Exchanges;
-use slateshed_node::net::{Context, Due};
+use slateshed_node::net::Context;
 use std::io::Read;
 use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
 
 struct World {
-    poll: Poll,
-    engine: Engine,
+    parts: Parts,
     exchanges: Exchanges,
-    deadlines: Deadlines<Due>,
-    log: Log,
-    words: Words,
     listener: TcpListener,
     addr: SocketAddr,
 }
@@ -30,33 +22,15 @@
     /// The own exchange, and one whose connection is begun and never seen to be up.
     fn new() -> Self {
         let (listener, addr) = common::listener();
-        let config = Config::parse(&common::config(addr, &[])).expect("a configuration");
-        let mut world = World {
-            poll: Poll::new().expect("a poll"),
-            engine: Engine::new(config.settings, 7).expect("settings make sense"),
-            exchanges: Exchanges::new(config.limits),
-            deadlines: Deadlines::default(),
-            log: Log::new("n0"),
-            words: config.words,
-            listener,
-            addr,
-        };
+        let parts = Parts::new();
+        let exchanges = Exchanges::new(parts.limits);
+        let mut world = World { parts, exchanges, listener, addr };
         world.list(Phase::InService);
         world
     }
 
     fn with<T>(&mut self, then: impl FnOnce(&mut Exchanges, &mut Context) -> T) -> T {
-        let mut cx = Context {
-            now: Duration::from_secs(1000),
-            engine: &mut self.engine,
-            deadlines: &mut self.deadlines,
-            log: &mut self.log,
-            words: &self.words,
-            registry: self.poll.registry(),
-            dial_timeout: Duration::from_millis(500),
-            duty: Duty::new(false, Duration::ZERO),
-        };
-        then(&mut self.exchanges, &mut cx)
+        then(&mut self.exchanges, &mut self.parts.context())
     }
 
     fn list(&mut self, phase: Phase) {
@@ -84,7 +58,7 @@
     }
 
     fn carry_out(&mut self) {
-        while let Some(command) = self.engine.next_command() {
+        while let Some(command) = self.parts.engine.next_command() {
             if !command.is_for_caller() {
                 self.with(|exchanges, cx| exchanges.command(command, cx));
             }
