Name the key whose address can't be listened on, and list what is left

Now listen, admin_addr and ROUTER_SOCKET_FD are named. A story over SIP holds the drain there: OPTIONS gets 503 and then 200, calls are taken in both.

--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -174,8 +174,10 @@
     let none = Token::from_bits(0);
     poll.registry().register(&mut signals, Kind::Signals.token(none), Interest::READABLE)?;
     let mut listener = match config.inherited {
-        Some(descriptor) => TcpListener::from_std(inherited::listener(descriptor)?),
-        None => TcpListener::bind(config.listen)?,
+        Some(descriptor) => {
+            TcpListener::from_std(inherited::listener(descriptor).map_err(named("ROUTER_SOCKET_FD"))?)
+        }
+        None => TcpListener::bind(config.listen).map_err(named("listen"))?,
     };
     poll.registry().register(&mut listener, Kind::Listener.token(none), Interest::READABLE)?;
     let listen = listener.local_addr()?;
@@ -194,7 +196,9 @@
         None => None,
     };
     let mut operators = match config.admin {
-        Some(admin) => Some(Operators::bind(admin, config.limits, &registry)?),
+        Some(admin) => {
+            Some(Operators::bind(admin, config.limits, &registry).map_err(named("admin_addr"))?)
+        }
         None => None,
     };
     let deadline = config.words.deadlines.iter().max().copied().unwrap_or_default();
@@ -372,6 +376,11 @@
     }
 }
 
+/// Names the key whose address or descriptor can't be used.
+fn named(key: &str) -> impl Fn(io::Error) -> io::Error + '_ {
+    move |e| io::Error::new(e.kind(), format!("{key}: {e}"))
+}
+
 /// Carries out what an operator asks for; the answer.
 fn answer(call: Call, reloads: Reloads, cx: &mut Context) -> String {
     let now = cx.now;
--- a/node/tests/lines.rs
+++ b/node/tests/lines.rs
@@ -487,6 +487,11 @@
             None,
             "listen: here is no address",
         ),
+        (
+            operated(&good).replacen("127.0.0.1:0", &journal.addr.to_string(), 1),
+            None,
+            "admin_addr: Address already in use",
+        ),
         (good.replace(r#""tick_ms":5.0"#, r#""tick_ms":"5""#), None, "settings.tick_ms is no number"),
         (good.replace(r#""full":true"#, r#""full":1"#), None, "known.entries[0]: hosts.full"),
         (good.clone(), Some(format!("{sip}t1 = 5")), "sip.t1 is unknown"),
--- a/node/tests/sip.rs
+++ b/node/tests/sip.rs
@@ -45,7 +45,7 @@
              [[sip.number]]\nprefix = \"21\"\nexchange = 1\nclass = \"voice\"\n\
              [[sip.number]]\nprefix = \"3\"\nexchange = 2\nclass = \"voice\"\n"
         );
-        let node = Node::start(&config(journal.addr, &servers), Some(&operator));
+        let node = Node::start(&operated(&config(journal.addr, &servers)), Some(&operator));
         let journal = journal.accept();
         World { node, place, journal, addr }
     }
@@ -364,6 +364,23 @@
     assert!(world.node.ended_well());
 }
 
+/// Guards against a drain that only one front knows of, or that costs SIP callers their calls: who asks is told to go
+/// elsewhere, and what comes all the same is taken.
+#[test]
+fn a_drained_controller_says_so_over_sip_and_takes_what_comes() {
+    let mut world = World::new("udp");
+    let mut caller = world.caller("udp");
+    for (n, call, status) in [(1, "LEAVE", "SIP/2.0 503"), (2, "JOIN", "SIP/2.0 200")] {
+        assert_eq!(world.node.ask(call), ["done"]);
+        caller.say(&request("OPTIONS", &caller, n, "", "", ""));
+        caller.hear(status);
+        world.stand(&mut caller, 10 + n);
+    }
+    assert!(
+        world.node.ask("DUMP")[0].contains(r#""succeeded":2,"declined":0,"aborted":0}},"forwards":2"#)
+    );
+}
+
 /// Guards against fronts that only work with themselves: a call from the platform's wire goes on over SIP
 /// and is ended from there, and one from SIP goes on over lines.
 #[test]
