--- a/node/tests/operations.rs
+++ b/node/tests/operations.rs
@@ -22,7 +22,7 @@
 #[test]
 fn operators_are_answered_whoever_else_is_silent() {
     let (mut node, _exchange, _journal) = world();
-    // More than the four that the configuration's descriptors leave at a time.
+    // More than the seven that the configuration's descriptors leave at a time.
     let silent: Vec<_> = (0..12).map(|_| node.operator()).collect();
     let mut half = node.operator();
     half.raw(b"LEAVE");
