Tell the end of a call to who has confirmed one, where its own connection has closed

At fault: net/clients.rs, way_back, took the newest connection on which a set-up had come, and a bad client's set-ups come too. Now one that has confirmed an end (FINISHED) goes first.

--- a/node/src/net/clients.rs
+++ b/node/src/net/clients.rs
@@ -50,6 +50,8 @@
     answered: bool,
     /// A set-up has come on it: whoever only tests is no caller, and has no use for a release.
     calls: bool,
+    /// It has confirmed the end of a call.
+    confirms: bool,
     /// Since when its next message has been awaited or unfinished; none between messages.
     awaited: Option<Duration>,
     /// A deadline is set for that.
@@ -228,6 +230,7 @@
                 standing: 0,
                 answered: false,
                 calls: false,
+                confirms: false,
                 awaited: Some(now),
                 watched: true,
                 last_heard: now,
@@ -353,7 +356,9 @@
             }
             "FINISHED" => {
                 if let Some(client) = self.conns.get_mut(token) {
+                    let before = client.released.len();
                     client.released.retain(|(_, r)| r.tag != message.tag);
+                    client.confirms |= client.released.len() < before;
                 }
                 Ok(())
             }
@@ -476,14 +481,14 @@
         }
     }
 
-    /// The connection for a release: the call's own, else the newest from the same host, else the newest on which
-    /// a call has come. Any other from elsewhere may be anybody's.
+    /// The connection for a release: the call's own, else one from the same host, else one that has confirmed another,
+    /// else one on which a call has come; of these the newest. Any other from elsewhere may be anybody's.
     fn way_back(&self, own: Token, host: IpAddr) -> Option<Token> {
         if self.conns.get(own).is_some() {
             return Some(own);
         }
         let callers = self.conns.iter().filter(|(_, c)| c.calls || c.peer == host);
-        let rank = |c: &Client| (c.peer == host, c.calls, c.last_heard);
+        let rank = |c: &Client| (c.peer == host, c.confirms, c.calls, c.last_heard);
         callers.max_by_key(|(_, c)| rank(c)).map(|(token, _)| token)
     }
 
--- a/node/tests/lines.rs
+++ b/node/tests/lines.rs
@@ -231,6 +231,25 @@
     assert_eq!(link.hear_start(), "00000000000000aa");
 }
 
+/// Guards against the end of a call that is told to a stranger, where its caller's connection has closed: it goes to
+/// one that has confirmed such an end before, however new the others are.
+#[test]
+fn the_end_of_a_call_goes_to_who_has_confirmed_one() {
+    let (mut node, exchange, _journal) = world();
+    let mut link = Lines::accept(&exchange);
+    let (mut usual, mut own, mut stranger) = (node.client(), node.client(), node.client());
+    stand(&mut link, &mut usual, TAG);
+    link.say(&format!(r#"{{"verb":"FINISH","tag":"{TAG}","opts":{{}},"rc":16}}"#));
+    assert!(usual.hear().contains(TAG));
+    usual.say(&format!(r#"{{"verb":"FINISHED","tag":"{TAG}","opts":{{}}}}"#));
+    stand(&mut link, &mut own, "00000000000000aa");
+    drop(own);
+    stand(&mut link, &mut stranger, "00000000000000bb");
+    assert!(stranger.test(), "the last that was heard");
+    link.say(r#"{"verb":"FINISH","tag":"00000000000000aa","opts":{},"rc":16}"#);
+    assert!(usual.hear().contains("00000000000000aa"));
+}
+
 /// Guards against the rest of a long burst being forgotten once its connection's turn is over.
 #[test]
 fn a_burst_longer_than_a_turn_is_read_to_its_end() {
