Leave the door at SIGTERM only where another process serves on the same socket

In the log n2 stops at 12.99, n1 at 15.99 and n0 at 18.99 with no process beside them: plain restarts, on a socket that the platform holds. At fault: net/duty.rs took an inherited socket for proof that another process serves, so what came in the 0.4 s after SIGTERM met nobody.

Now whoever starts last on such a socket writes its id to a file in TMPDIR, which both share (net/inherited.rs, Serving), and only a living other one there has the old process leave. Not chosen: to go on accepting beside the new process, as each connection accepted just before the end would be closed on.

--- a/node/src/net/duty.rs
+++ b/node/src/net/duty.rs
@@ -34,18 +34,17 @@
 pub struct Duty {
     drained_at: Option<Duration>,
     stopped_at: Option<Duration>,
-    /// The listening socket is the platform's: another process takes what arrives.
+    /// Another process serves on the same listening socket: it takes what arrives.
     replaced: bool,
     /// The longest that a caller waits, as far as it counts here.
     deadline: Duration,
 }
 
 impl Duty {
-    /// On duty. `inherited`: the clients' listening socket is held by the platform. `deadline`: the longest that a
-    /// caller waits.
-    pub fn new(inherited: bool, deadline: Duration) -> Self {
+    /// On duty. `deadline`: the longest that a caller waits.
+    pub fn new(deadline: Duration) -> Self {
         let deadline = deadline.min(MOST_DEADLINE);
-        Duty { drained_at: None, stopped_at: None, replaced: inherited, deadline }
+        Duty { drained_at: None, stopped_at: None, replaced: false, deadline }
     }
 
     /// An operator has this call controller drained.
@@ -58,9 +57,11 @@
         self.drained_at = None;
     }
 
-    /// A planned stop was asked for; when all answers have to be out. None if one was asked for before.
-    pub fn stop(&mut self, now: Duration) -> Option<Duration> {
+    /// A planned stop was asked for; when all answers have to be out. None if one was asked for before. `replaced`:
+    /// another process serves on the same listening socket.
+    pub fn stop(&mut self, now: Duration, replaced: bool) -> Option<Duration> {
         let first = self.stopped_at.is_none();
+        self.replaced = if first { replaced } else { self.replaced };
         self.stopped_at.get_or_insert(now);
         first.then_some(now + self.deadline + ANSWERED_AFTER)
     }
@@ -134,7 +135,7 @@
     #[test]
     fn a_drain_goes_by_steps_and_back() {
         let at = Duration::from_millis;
-        let mut duty = Duty::new(false, Duration::from_secs(9));
+        let mut duty = Duty::new(Duration::from_secs(9));
         assert!(duty.is_ready());
         duty.drain(at(1000));
         duty.drain(at(1500));
@@ -151,12 +152,12 @@
     #[test]
     fn at_a_stop_the_door_is_left_to_the_process_that_replaces_this_one() {
         let at = Duration::from_millis;
-        for inherited in [true, false] {
-            let mut duty = Duty::new(inherited, at(9000));
-            assert!(duty.stop(at(1000)).is_some() && duty.stop(at(2000)).is_none());
-            assert_eq!(duty.leaves_door(), inherited);
+        for replaced in [true, false] {
+            let mut duty = Duty::new(at(9000));
+            assert!(duty.stop(at(1000), replaced).is_some() && duty.stop(at(2000), true).is_none());
+            assert_eq!(duty.leaves_door(), replaced);
             assert!(!duty.is_ready() && !duty.may_end(at(1500)) && duty.may_end(at(1900)));
-            assert_eq!(duty.lets_go(at(1900)), inherited, "the ends of calls are passed on");
+            assert_eq!(duty.lets_go(at(1900)), replaced, "the ends of calls are passed on");
             // Killed after the deadline, three seconds of it at most, and 0.7 s more.
             assert!(duty.lets_go(at(4400)) && !duty.must_end(at(4500)) && duty.must_end(at(4600)));
         }
--- a/node/src/net/inherited.rs
+++ b/node/src/net/inherited.rs
@@ -3,7 +3,8 @@
 
 use listenfd::ListenFd;
 use std::io;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
 
 /// Takes over the listening socket under a descriptor, if it is one. To be called once, before there are threads.
 pub fn listener(descriptor: u16) -> io::Result<TcpListener> {
@@ -16,3 +17,26 @@
     listener.set_nonblocking(true)?;
     Ok(listener)
 }
+
+/// Which process serves on a socket that is handed down, for the process that it replaces: both share the folder for
+/// temporary files.
+#[derive(Debug)]
+pub struct Serving {
+    file: PathBuf,
+}
+
+impl Serving {
+    /// Takes over from whichever process served before.
+    pub fn take_over(folder: &Path, listen: SocketAddr) -> io::Result<Self> {
+        let name = format!("slateshed-{listen}.pid").replace(':', "-");
+        let serving = Serving { file: folder.join(name) };
+        std::fs::write(&serving.file, std::process::id().to_string())?;
+        Ok(serving)
+    }
+
+    /// Whether another process serves in the place of this one. One that has died does not.
+    pub fn is_taken_over(&self) -> bool {
+        let pid = std::fs::read_to_string(&self.file).ok().and_then(|text| text.parse::<u32>().ok());
+        pid.is_some_and(|p| p != std::process::id() && Path::new(&format!("/proc/{p}")).exists())
+    }
+}
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -19,6 +19,7 @@
 use clients::Clients;
 use duty::Duty;
 use exchanges::Exchanges;
+use inherited::Serving;
 use journal::Journal;
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Registry};
@@ -202,8 +203,13 @@
         None => None,
     };
     let deadline = config.words.deadlines.iter().max().copied().unwrap_or_default();
-    let mut duty = Duty::new(config.inherited.is_some(), deadline);
+    let mut duty = Duty::new(deadline);
     let mut reloads = Reloads::default();
+    // Last of all that can fail: from here on the process before is the one that is replaced.
+    let serving = match config.inherited {
+        Some(_) => Some(Serving::take_over(&std::env::temp_dir(), listen).map_err(named("TMPDIR"))?),
+        None => None,
+    };
     let mut changes: Vec<News> = config.known.clone();
     let mut started = false;
     loop {
@@ -257,7 +263,9 @@
                                     cx.log.line(now, "reload-failed", e);
                                 }
                             }
-                        } else if let Some(by) = cx.duty.stop(now) {
+                        } else if let Some(by) =
+                            cx.duty.stop(now, serving.as_ref().is_some_and(Serving::is_taken_over))
+                        {
                             let owed = cx.engine.owed();
                             cx.log.line(now, "stopping", format_args!("{owed} answers owed"));
                             cx.engine.stop(by, cx.deadlines);
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -104,7 +104,7 @@
             words: &self.words,
             registry: self.poll.registry(),
             dial_timeout: Duration::from_millis(500),
-            duty: Duty::new(false, Duration::ZERO),
+            duty: Duty::new(Duration::ZERO),
         }
     }
 }
@@ -153,6 +153,8 @@
         command.env_clear().stderr(Stdio::piped());
         std::fs::write(dir.join("config.json"), config).expect("a file");
         command.env("ROUTER_CONFIG", dir.join("config.json"));
+        // Shared by the processes that replace each other, and by no other test's.
+        command.env("TMPDIR", std::env::temp_dir());
         if let Some(text) = operator {
             std::fs::write(dir.join("operator.toml"), text).expect("a file");
             command.env("SLATESHED_OPERATOR", dir.join("operator.toml"));
--- a/node/tests/operations.rs
+++ b/node/tests/operations.rs
@@ -122,3 +122,20 @@
     assert!(old.ended_well());
     assert!(client.test() && new.runs());
 }
+
+/// Guards against clients that meet nobody: where no other process serves on the socket, this one goes on taking what
+/// arrives after SIGTERM, as it does on a socket of its own.
+#[test]
+fn a_process_that_nobody_replaces_keeps_the_door_after_sigterm() {
+    let (exchange, addr) = listener();
+    let journal = JournalPeer::new();
+    let servers = [server("s-own", 0, "in_service", addr), server("s-one", 1, "in_service", addr)];
+    let (socket, _) = listener();
+    let mut node = Node::start_on(&operated(&config(journal.addr, &servers)), &socket);
+    let mut link = Lines::accept(&exchange);
+    let mut before = node.client();
+    stand(&mut link, &mut before, TAG);
+    node.terminate();
+    node.logged("stopping");
+    stand(&mut link, &mut node.client(), OTHER);
+}
