Refuse all set-ups at a drained controller after 1.8 s, also on new connections

At fault: net/clients.rs, start, refused only on connections from before the drain. Ruled out: idle ones, none of which was there.

Now what comes after 1.8 s is refused on any connection, which is then closed at once.

--- a/node/src/net/clients.rs
+++ b/node/src/net/clients.rs
@@ -392,8 +392,7 @@
                 return Ok(());
             }
         };
-        let drained =
-            matches!(cx.duty.clients(cx.now), duty::Clients::Refuse(old) if client.since < old);
+        let drained = matches!(cx.duty.clients(cx.now), duty::Clients::Refuse(_));
         if drained || self.owed >= self.limits.calls() {
             if !drained {
                 cx.log.line(cx.now, "too-many-calls", format_args!("{} owed", self.owed));
--- a/node/src/net/duty.rs
+++ b/node/src/net/duty.rs
@@ -4,7 +4,7 @@
 
 /// A drained call controller leaves its clients this long to notice before it closes their idle connections.
 const NOTICED_AFTER: Duration = Duration::from_millis(600);
-/// And refuses set-ups after this, on connections that have not fallen idle by then.
+/// And refuses set-ups after this: calls in transit go on coming, as nothing tells the other controllers.
 const REFUSED_AFTER: Duration = Duration::from_millis(1800);
 /// After a planned stop was asked for, connections and set-ups keep coming for this long.
 const STOP_TAKES: Duration = Duration::from_millis(800);
@@ -24,8 +24,7 @@
     /// Each is closed once no call is on it; one that came after this time, as soon as it has its answers and there
     /// is another to tell the end of its calls on.
     Close(Duration),
-    /// The same, and set-ups are refused on those from before that time. What comes on a new connection is meant for
-    /// this controller and no other, as a call in transit is.
+    /// The same, and set-ups are refused, so that no connection stays for one that has just come.
     Refuse(Duration),
 }
 
--- a/node/tests/operations.rs
+++ b/node/tests/operations.rs
@@ -76,6 +76,11 @@
     std::thread::sleep(Duration::from_millis(1400));
     caller.start("00000000000000cc", 3000, 1);
     insta::assert_snapshot!(caller.hear(), @r#"{"verb":"FINISH","tag":"00000000000000cc","opts":{},"rc":42}"#);
+    // So it is on a connection that comes now, which is closed at once.
+    let mut new = node.client();
+    new.start("00000000000000ce", 3000, 1);
+    assert!(new.hear().contains(r#""rc":42"#));
+    assert_eq!(new.hear(), "", "closed");
     // A probe's connection is none to tell the end of a call on: it is told on the caller's.
     let mut probe = node.client();
     assert!(!probe.test());
