Log why calls are released, refused and retried, with their ids, and count the reasons

Change: the engine leaves typed notices (notices.rs) that the loop writes as call-released, call-refused, call-failed, call-retried and exchange-listed, each with ids and reason; clients.rs logs releases that wait or go out again, and connections closed to make room. DUMP gains standing, retries, releases by reason and attempt_ends by reason.

--- a/node/src/end.rs
+++ b/node/src/end.rs
@@ -88,11 +88,10 @@
         use Outcome::*;
         matches!(self.outcome(), TimedOut | Reset | Disconnected | Cancelled)
     }
-}
 
-impl fmt::Display for End {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
+    /// Its name, in the log and in the figures.
+    pub fn name(self) -> &'static str {
+        match self {
             End::Refused => "connection refused",
             End::DialTimedOut => "connection not up in time",
             End::NeverUp => "reset before it was up",
@@ -118,6 +117,12 @@
             End::NumberBusy => "number busy",
             End::Fault => "fault",
             End::Cut => "cut",
-        })
+        }
+    }
+}
+
+impl fmt::Display for End {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
     }
 }
--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -6,6 +6,7 @@
 
 use crate::deadlines::Deadlines;
 use crate::end::End;
+use crate::notices::Notice;
 use crate::slots::{Slots, Token};
 use slateshed::*;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -149,6 +150,14 @@
     pub discovered: usize,
     /// Of these the ones that the controller avoids.
     pub ejected: usize,
+    /// Calls that stand.
+    pub standing: usize,
+    /// Calls that stood and whose callers were told of their end, by why they were over.
+    pub releases: BTreeMap<&'static str, u64>,
+    /// Set-ups that ended without an answer, by how.
+    pub attempt_ends: BTreeMap<&'static str, u64>,
+    /// Set-ups that were not the first of their call.
+    pub retries: u64,
 }
 
 #[derive(Debug)]
@@ -163,6 +172,8 @@
     /// Attempts so far, and the one that is out or stands.
     attempts: u32,
     attempt: Option<AttemptToken>,
+    /// How the last attempt ended.
+    last_end: Option<End>,
 }
 
 #[derive(Debug)]
@@ -172,6 +183,8 @@
     number: u32,
     sent: Duration,
     stands: bool,
+    /// When it was answered.
+    stood: Duration,
     /// It went to its destination; how many later ones that did have been answered since.
     direct: bool,
     overtaken: u32,
@@ -206,6 +219,11 @@
     stop_by: Option<Duration>,
     results: Vec<Results>,
     forwards: u64,
+    releases: BTreeMap<&'static str, u64>,
+    attempt_ends: BTreeMap<&'static str, u64>,
+    retries: u64,
+    /// What the log has not been told yet.
+    notices: VecDeque<Notice>,
 }
 
 impl Engine {
@@ -227,6 +245,10 @@
             stop_by: None,
             results,
             forwards: 0,
+            releases: BTreeMap::new(),
+            attempt_ends: BTreeMap::new(),
+            retries: 0,
+            notices: VecDeque::new(),
         })
     }
 
@@ -245,6 +267,11 @@
         self.commands.pop_front()
     }
 
+    /// The next thing that the log has to be told.
+    pub fn next_notice(&mut self) -> Option<Notice> {
+        self.notices.pop_front()
+    }
+
     /// Calls whose final answer is still owed.
     pub fn owed(&self) -> usize {
         let stands = |c: &Call| c.attempt.and_then(|a| self.attempts.get(a.0)).is_some_and(|a| a.stands);
@@ -269,6 +296,10 @@
             outstanding: self.calls.len(),
             discovered: self.exchanges.values().filter(|e| e.phase != Phase::Gone).count(),
             ejected: self.controller.avoided(),
+            standing: self.standing(),
+            releases: self.releases.clone(),
+            attempt_ends: self.attempt_ends.clone(),
+            retries: self.retries,
         }
     }
 
@@ -329,6 +360,7 @@
             not_before: Duration::ZERO,
             attempts: 0,
             attempt: None,
+            last_end: None,
         }));
         d.set(answer_by, Wake::Answer(call).into());
         let event = Event::Call(NewCall {
@@ -376,7 +408,7 @@
         let Some(a) = self.attempts.get_mut(attempt.0).filter(|a| !a.stands) else {
             return false;
         };
-        a.stands = true;
+        (a.stands, a.stood) = (true, now);
         let (call, number, delay) = (a.call, a.number, now.saturating_sub(a.sent));
         let (exchange, sent, direct) = (a.exchange, a.sent, a.direct);
         self.commands.push_back(Command::Answer(call, description));
@@ -422,6 +454,7 @@
         if a.stands {
             let call = a.call;
             let cause = if end == End::Ended { Cause::Normal } else { Cause::Cut };
+            self.note_release(now, attempt, end);
             self.calls.remove(call.0);
             self.commands.push_back(Command::ReleaseCaller(call, cause));
             self.attempts_over(now, attempt, end, true);
@@ -431,6 +464,23 @@
         self.run(now, d);
     }
 
+    /// Notes that a call was refused.
+    fn note_refused(&mut self, call: &Call) {
+        let (attempts, last) = (call.attempts, call.last_end);
+        self.notices.push_back(Notice::Refused { call: call.offer.id.clone(), attempts, last });
+    }
+
+    /// Notes that the caller of a call that stands is told of its end.
+    fn note_release(&mut self, now: Duration, attempt: AttemptToken, why: End) {
+        let Some(a) = self.attempts.get(attempt.0) else {
+            return;
+        };
+        *self.releases.entry(why.name()).or_default() += 1;
+        let call = self.calls.get(a.call.0).map_or(String::new(), |c| c.offer.id.clone());
+        let (exchange, stood) = (self.name(a.exchange).to_owned(), now.saturating_sub(a.stood));
+        self.notices.push_back(Notice::Released { call, exchange, why, stood });
+    }
+
     /// Whether an attempt has been answered and not ended.
     pub fn stands(&self, attempt: AttemptToken) -> bool {
         self.attempts.get(attempt.0).is_some_and(|a| a.stands)
@@ -491,6 +541,7 @@
         }
         for l in lines {
             let next = ExchangeId(self.next_exchange);
+            self.note_listed(l);
             let id = *self.names.entry(l.name.clone()).or_insert(next);
             self.next_exchange += u32::from(id == next);
             let e = self.exchanges.entry(id).or_insert_with(|| Exchange {
@@ -515,6 +566,17 @@
         self.run(now, d);
     }
 
+    /// Notes what a line of the list changes.
+    fn note_listed(&mut self, line: &Listed) {
+        let known = self.names.get(&line.name).and_then(|id| self.exchanges.get(id));
+        let from = known.map(|e| e.phase);
+        let restarted = known.is_some_and(|e| line.started > e.started);
+        if from != Some(line.phase) || restarted {
+            let (exchange, to) = (line.name.clone(), line.phase);
+            self.notices.push_back(Notice::Listed { exchange, from, to, restarted });
+        }
+    }
+
     /// Forgets the exchanges that are gone, once nothing is out there. They are replaced for good, under other
     /// names, so whoever keeps them grows for as long as it runs. Fronts look names up until the news is dealt
     /// with, so this is for them to call then.
@@ -563,6 +625,7 @@
         }
         if let Some(c) = self.calls.remove(call.0) {
             self.count(c.class, |r| &mut r.declined);
+            self.note_refused(&c);
             self.pending.push_back(Event::CallerGone(CallId(call.0.bits())));
             let stay = self.stay_away();
             self.commands.push_back(Command::Refuse(call, stay));
@@ -608,6 +671,10 @@
         };
         if let Some(call) = self.calls.get_mut(a.call.0) {
             call.attempt = None;
+            call.last_end = Some(end);
+        }
+        if !a.stands {
+            *self.attempt_ends.entry(end.name()).or_default() += 1;
         }
         self.over(now, a.call, a.number, now.saturating_sub(a.sent), end, settled);
     }
@@ -657,15 +724,18 @@
                 self.set_up(now, token(call), exchange, timeout, d)
             }
             Action::Refuse { call, retry_after } => {
-                if let Some(class) = self.settle(token(call)) {
-                    self.count(class, |r| &mut r.declined);
+                if let Some(c) = self.settle(token(call)) {
+                    self.count(c.class, |r| &mut r.declined);
                     self.commands.push_back(Command::Refuse(token(call), retry_after));
+                    self.note_refused(&c);
                 }
             }
             Action::Fail(call) => {
-                if let Some(class) = self.settle(token(call)) {
-                    self.count(class, |r| &mut r.aborted);
+                if let Some(c) = self.settle(token(call)) {
+                    self.count(c.class, |r| &mut r.aborted);
                     self.commands.push_back(Command::Fail(token(call)));
+                    let (call, attempts, last) = (c.offer.id.clone(), c.attempts, c.last_end);
+                    self.notices.push_back(Notice::Failed { call, attempts, last });
                 }
             }
             Action::SetTimer { timer, after } => d.set(now + after, Wake::Controller(timer).into()),
@@ -674,14 +744,13 @@
         }
     }
 
-    /// Takes a call out for its final answer, and gives its class; none if it had one. An attempt still out is
-    /// given up.
-    fn settle(&mut self, call: CallToken) -> Option<usize> {
+    /// Takes a call out for its final answer; none if it had one. An attempt still out is given up.
+    fn settle(&mut self, call: CallToken) -> Option<Call> {
         let c = self.calls.remove(call.0)?;
         if let Some(a) = c.attempt.filter(|a| self.attempts.remove(a.0).is_some()) {
             self.commands.push_back(Command::GiveUp(a));
         }
-        Some(c.class)
+        Some(c)
     }
 
     fn set_up<D: From<Wake>>(
@@ -702,10 +771,23 @@
         if call.attempt.is_some() || now < call.not_before || !in_service || wait.is_zero() {
             return self.over(now, token, number, Duration::ZERO, End::NotSent, false);
         }
-        let (offer, destination) = (Rc::clone(&call.offer), call.destination);
+        let (offer, destination, after) = (Rc::clone(&call.offer), call.destination, call.last_end);
+        if number > 0 {
+            self.retries += 1;
+            let (call, exchange) = (offer.id.clone(), self.name(exchange).to_owned());
+            self.notices.push_back(Notice::Retried { call, exchange, attempt: number, after });
+        }
         let direct = self.number(exchange) == Some(destination);
-        let attempt =
-            Attempt { call: token, exchange, number, sent: now, stands: false, direct, overtaken: 0 };
+        let attempt = Attempt {
+            call: token,
+            exchange,
+            number,
+            sent: now,
+            stands: false,
+            stood: now,
+            direct,
+            overtaken: 0,
+        };
         let attempt = AttemptToken(self.attempts.insert(attempt));
         if let Some(call) = self.calls.get_mut(token.0) {
             call.attempt = Some(attempt);
--- a/node/src/figures.rs
+++ b/node/src/figures.rs
@@ -1,6 +1,7 @@
 //! The figures that operators ask for, as JSON on one line.
 
 use crate::engine::Figures;
+use std::collections::BTreeMap;
 use std::fmt::Write;
 use tinyjson::JsonValue;
 
@@ -26,19 +27,36 @@
             r.succeeded, r.declined, r.aborted
         );
     }
-    let _ = write!(
-        out,
-        "}},\"forwards\":{},\"outstanding\":{},\"discovered\":{},\"ejected\":{},\"sighup_applied\":{},\"sighup_rejected\":{}}}",
-        figures.forwards,
-        figures.outstanding,
-        figures.discovered,
-        figures.ejected,
-        reloads.applied,
-        reloads.rejected
-    );
+    out.push('}');
+    let counts = [
+        ("forwards", figures.forwards),
+        ("outstanding", figures.outstanding as u64),
+        ("discovered", figures.discovered as u64),
+        ("ejected", figures.ejected as u64),
+        ("sighup_applied", reloads.applied),
+        ("sighup_rejected", reloads.rejected),
+        ("standing", figures.standing as u64),
+        ("retries", figures.retries),
+    ];
+    for (name, count) in counts {
+        let _ = write!(out, ",\"{name}\":{count}");
+    }
+    write_by_reason(&mut out, "releases", &figures.releases);
+    write_by_reason(&mut out, "attempt_ends", &figures.attempt_ends);
+    out.push('}');
     out
 }
 
+/// Writes counts by their reasons, whose names need no quoting.
+fn write_by_reason(out: &mut String, name: &str, counts: &BTreeMap<&'static str, u64>) {
+    let _ = write!(out, ",\"{name}\":{{");
+    for (i, (reason, count)) in counts.iter().enumerate() {
+        let comma = if i == 0 { "" } else { "," };
+        let _ = write!(out, "{comma}\"{reason}\":{count}");
+    }
+    out.push('}');
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -48,9 +66,19 @@
     #[test]
     fn figures_are_one_line_of_json() {
         let results = vec![Results { succeeded: 8, declined: 2, aborted: 1 }; 2];
-        let figures = Figures { results, forwards: 14, outstanding: 3, discovered: 5, ejected: 1 };
+        let figures = Figures {
+            results,
+            forwards: 14,
+            outstanding: 3,
+            discovered: 5,
+            ejected: 1,
+            standing: 2,
+            releases: BTreeMap::from([("cut", 1), ("ended", 5)]),
+            attempt_ends: BTreeMap::from([("timed out", 4)]),
+            retries: 3,
+        };
         let classes = ["voice".to_owned(), "a \"b\"\n".to_owned()];
         let line = json(&figures, Reloads { applied: 2, rejected: 1 }, &classes);
-        insta::assert_snapshot!(line, @r#"{"results":{"voice":{"succeeded":8,"declined":2,"aborted":1},"a \"b\"\n":{"succeeded":8,"declined":2,"aborted":1}},"forwards":14,"outstanding":3,"discovered":5,"ejected":1,"sighup_applied":2,"sighup_rejected":1}"#);
+        insta::assert_snapshot!(line, @r#"{"results":{"voice":{"succeeded":8,"declined":2,"aborted":1},"a \"b\"\n":{"succeeded":8,"declined":2,"aborted":1}},"forwards":14,"outstanding":3,"discovered":5,"ejected":1,"sighup_applied":2,"sighup_rejected":1,"standing":2,"retries":3,"releases":{"cut":1,"ended":5},"attempt_ends":{"timed out":4}}"#);
     }
 }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod figures;
 pub mod log;
 pub mod net;
+pub mod notices;
 pub mod slots;
--- a/node/src/log.rs
+++ b/node/src/log.rs
@@ -29,6 +29,11 @@
 
     /// Writes a line of a kind, unless too many of that kind were written lately.
     pub fn line(&mut self, now: Duration, kind: &'static str, text: impl Display) {
+        self.limited(now, kind, MOST, text);
+    }
+
+    /// The same for a kind of which so many lines may be written in one span.
+    pub fn limited(&mut self, now: Duration, kind: &'static str, most: u32, text: impl Display) {
         let k = self.kinds.entry(kind).or_insert(Kind { since: now, written: 0, left_out: 0 });
         if now >= k.since + SPAN {
             if k.left_out > 0 {
@@ -36,7 +41,7 @@
             }
             *k = Kind { since: now, written: 0, left_out: 0 };
         }
-        if k.written < MOST {
+        if k.written < most {
             k.written += 1;
             write(&self.name, now, kind, text);
         } else {
--- a/node/src/net/clients.rs
+++ b/node/src/net/clients.rs
@@ -208,9 +208,15 @@
         let needed = |c: &Client| c.standing > 0 || c.is_releasing(cx.now);
         let rank = |c: &Client| (needed(c), !c.answered, c.last_heard);
         let first = idle.min_by_key(|(_, c)| rank(c)).filter(|(_, c)| c.last_heard < cx.now);
-        let Some(token) = first.map(|(token, _)| token) else {
+        let Some((token, client)) = first else {
             return false;
         };
+        let (peer, standing) = (client.peer, client.standing);
+        cx.log.line(
+            cx.now,
+            "client-closed",
+            format_args!("{peer} why=\"makes way\" standing={standing}"),
+        );
         self.end(token, End::ClosedHere, cx);
         true
     }
@@ -473,6 +479,10 @@
                 };
                 let cause = if cause == Cause::Normal { ENDED } else { CUT };
                 let conn = self.way_back(k.conn, k.peer);
+                if conn.is_none() {
+                    let why = "no connection of its caller";
+                    cx.log.line(cx.now, "release-kept", format_args!("call={} why=\"{why}\"", k.tag));
+                }
                 let release = Release { tag: k.tag, host: k.peer, cause, until: cx.now + RELEASE_KEPT };
                 self.release(conn, release, cx.now);
             }
@@ -555,6 +565,8 @@
         }
         for (_, release) in client.released.into_iter().filter(|(at, _)| *at + MAY_CROSS > cx.now) {
             let conn = self.way_back(token, release.host);
+            let why = format_args!("call={} why=\"not heard when its connection closed\"", release.tag);
+            cx.log.line(cx.now, "release-again", why);
             self.release(conn, release, cx.now);
         }
         if client.open > 0 {
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -356,6 +356,9 @@
                 break;
             }
         }
+        while let Some(notice) = cx.engine.next_notice() {
+            cx.log.limited(now, notice.kind(), notice.most(), &notice);
+        }
         if cx.duty.may_end(now) && cx.engine.owed() == 0 {
             let sip_settled = sip.as_ref().is_none_or(Sip::is_settled);
             let told = operators.as_ref().is_none_or(Operators::is_flushed);
