--- /dev/null
+++ b/node/tests/common/faulty.rs
@@ -0,0 +1,447 @@
+//! An exchange that can fail: a scripted peer on loopback whose machine vanishes, hangs, is cut off, is replaced at
+//! its address, or crashes, and that keeps a record of every call it was given.
+
+use slateshed_node::net::lines::Message;
+use socket2::{Domain, SockAddr, SockRef, Socket, Type};
+use std::collections::HashMap;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+/// Connections that may wait to be accepted while the exchange serves.
+const BACKLOG: i32 = 128;
+/// How long a dial to a machine that vanished is watched before it counts as one that never comes up.
+const NEVER_UP: Duration = Duration::from_millis(20);
+/// Pause between two looks at the sockets.
+const STEP: Duration = Duration::from_millis(1);
+
+/// What the exchange does with its sockets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// It accepts, reads and writes.
+    Serving,
+    /// The process stands still; the system accepts connections for it.
+    Hung,
+    /// Open connections stay open and silent, and new ones never come up.
+    Unreachable,
+    /// New connections are refused, and there is no process.
+    Down,
+}
+
+/// How the exchange behaves while it serves.
+#[derive(Clone, Copy, Debug)]
+pub struct Manners {
+    /// It states its trunk group first on each new connection.
+    pub greets: bool,
+    /// It states its trunk group on all connections when that changes.
+    pub reports: bool,
+    /// It closes a connection that its peer has closed.
+    pub closes: bool,
+    /// It answers set-ups.
+    pub answers: bool,
+    /// Mean time that a call stands; forever, where there is none.
+    pub hold: Option<Duration>,
+}
+
+impl Manners {
+    /// As the protocol has it, with calls that stand until they are released.
+    pub const PROTOCOL: Manners =
+        Manners { greets: true, reports: true, closes: true, answers: true, hold: None };
+}
+
+/// One call as the exchange knows it.
+#[derive(Clone, Debug)]
+pub struct Record {
+    /// When it was answered.
+    pub stood: Instant,
+    /// When it was over, for whatever reason.
+    pub over: Option<Instant>,
+    /// When its release was sent, where one could be.
+    pub released: Option<Instant>,
+    /// The controller has released it.
+    pub cut: bool,
+    process: u32,
+    connection: u64,
+    ends: Option<Instant>,
+}
+
+struct Connection {
+    id: u64,
+    stream: TcpStream,
+    input: Vec<u8>,
+    process: u32,
+}
+
+struct State {
+    mode: Mode,
+    manners: Manners,
+    listener: Option<TcpListener>,
+    /// Connections of this peer's own that fill the queue of the listener.
+    fillers: Vec<Socket>,
+    connections: Vec<Connection>,
+    next_connection: u64,
+    process: u32,
+    calls: HashMap<String, Record>,
+    accepted: u64,
+    set_ups: Vec<(Instant, String)>,
+    circuits: usize,
+    random: fastrand::Rng,
+}
+
+/// The exchange, which ends with the test.
+pub struct FaultyExchange {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    state: Arc<Mutex<State>>,
+    over: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+fn listen(addr: SocketAddr) -> TcpListener {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_reuse_address(true).expect("an option");
+    socket.bind(&SockAddr::from(addr)).expect("the address is free");
+    socket.listen(BACKLOG).expect("it listens");
+    socket.set_nonblocking(true).expect("an option");
+    socket.into()
+}
+
+impl FaultyExchange {
+    /// Starts an exchange on a port of the system's choice. `seed` draws the times that calls stand.
+    pub fn start(manners: Manners, seed: u64) -> Self {
+        let listener = listen(([127, 0, 0, 1], 0).into());
+        let addr = listener.local_addr().expect("an address");
+        let state = Arc::new(Mutex::new(State {
+            mode: Mode::Serving,
+            manners,
+            listener: Some(listener),
+            fillers: Vec::new(),
+            connections: Vec::new(),
+            next_connection: 0,
+            process: 0,
+            calls: HashMap::new(),
+            accepted: 0,
+            set_ups: Vec::new(),
+            circuits: 30,
+            random: fastrand::Rng::with_seed(seed),
+        }));
+        let over = Arc::new(AtomicBool::new(false));
+        let (shared, ended) = (Arc::clone(&state), Arc::clone(&over));
+        let thread = std::thread::spawn(move || {
+            while !ended.load(Ordering::Relaxed) {
+                shared.lock().expect("no panic").step();
+                std::thread::sleep(STEP);
+            }
+        });
+        FaultyExchange { addr, state, over, thread: Some(thread) }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no panic")
+    }
+
+    /// The machine vanishes for good: its calls are over, and nobody says so.
+    pub fn vanish(&self) {
+        let mut state = self.state();
+        state.unreachable();
+        state.end_all(Instant::now());
+    }
+
+    /// The way to the machine is cut: the process and its calls go on.
+    pub fn cut_off(&self) {
+        self.state().unreachable();
+    }
+
+    /// The way is there again: what was said meanwhile arrives.
+    pub fn reconnect(&self) {
+        let mut state = self.state();
+        state.reopen();
+        state.mode = Mode::Serving;
+    }
+
+    /// The process stands still until [`Self::reconnect`]; its calls go on.
+    pub fn hang(&self) {
+        self.state().mode = Mode::Hung;
+    }
+
+    /// A new process serves at the address and knows nothing of the calls before. The old connections stay open and
+    /// silent: nobody is left to close them.
+    pub fn replace(&self) {
+        let mut state = self.state();
+        state.end_all(Instant::now());
+        state.process += 1;
+        state.reopen();
+        state.mode = Mode::Serving;
+    }
+
+    /// The process dies: its connections are reset, and new ones refused.
+    pub fn crash(&self) {
+        let mut state = self.state();
+        state.end_all(Instant::now());
+        state.listener = None;
+        state.fillers.clear();
+        state.process += 1;
+        state.reset_all();
+        state.mode = Mode::Down;
+    }
+
+    /// A new process listens at the address of the one that died.
+    pub fn restart(&self) {
+        let mut state = self.state();
+        state.listener = Some(listen(self.addr));
+        state.mode = Mode::Serving;
+    }
+
+    /// Resets every open connection; the process lives on.
+    pub fn reset_connections(&self) {
+        self.state().reset_all();
+    }
+
+    /// Changes how it behaves.
+    pub fn behave(&self, manners: Manners) {
+        self.state().manners = manners;
+    }
+
+    /// Ends a call that stands, and says so if it can.
+    pub fn release(&self, tag: &str) {
+        if let Some(call) = self.state().calls.get_mut(tag) {
+            call.ends = Some(Instant::now());
+        }
+    }
+
+    /// The record of a call.
+    pub fn call(&self, tag: &str) -> Option<Record> {
+        self.state().calls.get(tag).cloned()
+    }
+
+    /// The records of all calls.
+    pub fn calls(&self) -> HashMap<String, Record> {
+        self.state().calls.clone()
+    }
+
+    /// Set-ups received, and when.
+    pub fn set_ups(&self) -> Vec<(Instant, String)> {
+        self.state().set_ups.clone()
+    }
+
+    /// Connections accepted since the start.
+    pub fn accepted(&self) -> u64 {
+        self.state().accepted
+    }
+}
+
+impl Drop for FaultyExchange {
+    fn drop(&mut self) {
+        self.over.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl State {
+    fn step(&mut self) {
+        if matches!(self.mode, Mode::Serving) {
+            self.accept();
+            self.read();
+        }
+        self.end_calls();
+    }
+
+    /// No further connection comes up: the queue of the listener is as short as can be, and full.
+    fn unreachable(&mut self) {
+        self.mode = Mode::Unreachable;
+        let Some(listener) = &self.listener else {
+            return;
+        };
+        SockRef::from(listener).listen(0).expect("it listens");
+        let addr = SockAddr::from(listener.local_addr().expect("an address"));
+        loop {
+            let filler = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+            filler.set_nonblocking(true).expect("an option");
+            let _ = filler.connect(&addr);
+            std::thread::sleep(NEVER_UP);
+            let is_up = filler.peer_addr().is_ok();
+            self.fillers.push(filler);
+            if !is_up {
+                return;
+            }
+        }
+    }
+
+    fn reopen(&mut self) {
+        self.fillers.clear();
+        if let Some(listener) = &self.listener {
+            SockRef::from(listener).listen(BACKLOG).expect("it listens");
+        }
+    }
+
+    fn reset_all(&mut self) {
+        for connection in self.connections.drain(..) {
+            let _ = SockRef::from(&connection.stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+
+    /// All calls of the process are over, with nobody to say so.
+    fn end_all(&mut self, now: Instant) {
+        for call in self.calls.values_mut().filter(|c| c.over.is_none()) {
+            call.over = Some(now);
+        }
+    }
+
+    fn load(&self) -> String {
+        let busy = self.calls.values().filter(|c| c.over.is_none()).count();
+        let (free, size) = (self.circuits.saturating_sub(busy), self.circuits);
+        format!(r#"{{"verb":"LOAD","tag":"","opts":{{"load":"spare:{free};total:{size}"}}}}"#)
+    }
+
+    fn accept(&mut self) {
+        while let Some(Ok((stream, _))) = self.listener.as_ref().map(TcpListener::accept) {
+            stream.set_nonblocking(true).expect("an option");
+            self.accepted += 1;
+            self.next_connection += 1;
+            let (id, process) = (self.next_connection, self.process);
+            self.connections.push(Connection { id, stream, input: Vec::new(), process });
+            if self.manners.greets {
+                let load = self.load();
+                self.say(id, &load);
+            }
+            // What could not be said before is said on the next connection.
+            let unsaid = |c: &Record| c.process == process && c.over.is_some() && c.released.is_none();
+            let late: Vec<_> =
+                self.calls.iter().filter(|(_, c)| unsaid(c) && !c.cut).map(|(t, _)| t.clone()).collect();
+            for tag in late {
+                self.say_release(&tag);
+            }
+        }
+    }
+
+    fn read(&mut self) {
+        let mut lines = Vec::new();
+        let (process, closes) = (self.process, self.manners.closes);
+        self.connections.retain_mut(|c| {
+            if c.process != process {
+                return true;
+            }
+            let mut chunk = [0; 4096];
+            loop {
+                match c.stream.read(&mut chunk) {
+                    Ok(0) => return !closes,
+                    Ok(n) => c.input.extend_from_slice(&chunk[..n]),
+                    Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                    Err(_) => return false,
+                }
+            }
+            while let Some(end) = c.input.iter().position(|b| *b == b'\n') {
+                let line: Vec<u8> = c.input.drain(..=end).collect();
+                lines.push((c.id, line[..end].to_vec()));
+            }
+            true
+        });
+        for (connection, line) in lines {
+            let message = Message::parse(&line).expect("the controller writes messages");
+            self.message(connection, message);
+        }
+    }
+
+    fn message(&mut self, connection: u64, message: Message) {
+        let now = Instant::now();
+        match message.verb.as_str() {
+            "START" => {
+                self.set_ups.push((now, message.tag.clone()));
+                if !self.manners.answers {
+                    return;
+                }
+                let hold = self.manners.hold.map(|mean| {
+                    let longer = -self.random.f64().max(1e-6).ln();
+                    mean.mul_f64(longer.clamp(0.05, 3.0))
+                });
+                let record = Record {
+                    stood: now,
+                    over: None,
+                    released: None,
+                    cut: false,
+                    process: self.process,
+                    connection,
+                    ends: hold.map(|h| now + h),
+                };
+                self.calls.insert(message.tag.clone(), record);
+                let tag = &message.tag;
+                self.say(
+                    connection,
+                    &format!(r#"{{"verb":"STARTED","tag":"{tag}","opts":{{}},"blob":"b"}}"#),
+                );
+                self.report();
+            }
+            "FINISH" => {
+                let process = self.process;
+                let known = self.calls.get_mut(&message.tag).filter(|c| c.process == process);
+                if let Some(call) = known.filter(|c| c.over.is_none()) {
+                    (call.over, call.cut) = (Some(now), true);
+                    self.report();
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn end_calls(&mut self) {
+        let now = Instant::now();
+        let due = |c: &Record| c.over.is_none() && c.ends.is_some_and(|e| e <= now);
+        let ended: Vec<_> = self.calls.iter().filter(|(_, c)| due(c)).map(|(t, _)| t.clone()).collect();
+        for tag in &ended {
+            if let Some(call) = self.calls.get_mut(tag) {
+                call.over = call.ends;
+            }
+        }
+        if self.mode != Mode::Serving {
+            return;
+        }
+        let process = self.process;
+        let unsaid =
+            |c: &Record| c.process == process && c.over.is_some() && c.released.is_none() && !c.cut;
+        let unsaid: Vec<_> =
+            self.calls.iter().filter(|(_, c)| unsaid(c)).map(|(t, _)| t.clone()).collect();
+        for tag in &unsaid {
+            self.say_release(tag);
+        }
+        if !unsaid.is_empty() {
+            self.report();
+        }
+    }
+
+    /// Says that a call has ended: on the connection of its set-up, else on any.
+    fn say_release(&mut self, tag: &str) {
+        let Some(call) = self.calls.get(tag) else {
+            return;
+        };
+        let process = self.process;
+        let mut own = self.connections.iter().filter(|c| c.process == process).map(|c| c.id);
+        let Some(on) = own.clone().find(|id| *id == call.connection).or_else(|| own.next()) else {
+            return;
+        };
+        self.say(on, &format!(r#"{{"verb":"FINISH","tag":"{tag}","opts":{{}},"rc":16}}"#));
+        if let Some(call) = self.calls.get_mut(tag) {
+            call.released = Some(Instant::now());
+        }
+    }
+
+    /// States the trunk group on all connections of the process.
+    fn report(&mut self) {
+        if self.manners.reports {
+            let (load, process) = (self.load(), self.process);
+            let open: Vec<_> =
+                self.connections.iter().filter(|c| c.process == process).map(|c| c.id).collect();
+            open.into_iter().for_each(|id| self.say(id, &load));
+        }
+    }
+
+    fn say(&mut self, connection: u64, line: &str) {
+        if let Some(c) = self.connections.iter_mut().find(|c| c.id == connection) {
+            let _ = c.stream.write_all(format!("{line}\n").as_bytes());
+        }
+    }
+}
--- /dev/null
+++ b/node/tests/liveness.rs
@@ -0,0 +1,218 @@
+//! Calls at exchanges that fall silent: whoever lives keeps them, and of whoever does not the callers are told within
+//! eight seconds, whatever else is offered to the exchange meanwhile.
+
+mod common;
+use common::caller::Caller;
+use common::faulty::{FaultyExchange, Manners};
+use common::*;
+use std::net::TcpListener;
+use std::time::{Duration, Instant};
+
+/// The rule: the end of a call is told within this time where no release could be sent.
+const TOLD_WITHIN: Duration = Duration::from_millis(8050);
+/// A release that arrives is passed on within this time.
+const PASSED_ON_WITHIN: Duration = Duration::from_millis(1050);
+const TAG: &str = "9b1f03aa5c7e2d41";
+
+/// The program with one exchange that can fail, and no journal service.
+struct World {
+    _node: Node,
+    exchange: FaultyExchange,
+    caller: Caller,
+    next_tag: u64,
+}
+
+impl World {
+    fn new(manners: Manners, is_wide: bool) -> Self {
+        let exchange = FaultyExchange::start(manners, 1);
+        // Nobody listens there any more: the journal service is down from the start.
+        let journal = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+        let own = server("s-own", 0, "in_service", exchange.addr);
+        let config = config(journal, &[own, server("s-one", 1, "in_service", exchange.addr)]);
+        let config = if is_wide { wide(&config) } else { config };
+        let mut node = Node::start(&operated(&config), None);
+        let listens = node.logged("n0 started: listening on ").parse().expect("an address");
+        let caller = Caller::connect(listens).expect("the program listens");
+        World { _node: node, exchange, caller, next_tag: 0xa000 }
+    }
+
+    fn tag(&mut self) -> String {
+        self.next_tag += 1;
+        format!("{:016x}", self.next_tag)
+    }
+
+    /// So many calls stand.
+    fn stand(&mut self, calls: usize) -> Vec<String> {
+        let mut tags = vec![TAG.to_owned()];
+        tags.extend((1..calls).map(|_| self.tag()));
+        for tag in &tags {
+            assert!(self.caller.set_up(tag, Duration::from_secs(9), 1));
+            assert!(self.caller.stands(tag, PATIENCE), "{tag} does not stand");
+        }
+        tags
+    }
+
+    /// Goes on for a time, with a set-up to the exchange in each interval.
+    fn offer(&mut self, time: Duration, interval: Option<Duration>) {
+        let until = Instant::now() + time;
+        while let Some(left) = until.checked_duration_since(Instant::now()) {
+            std::thread::sleep(interval.unwrap_or(left).min(left));
+            if interval.is_some() {
+                let tag = self.tag();
+                self.caller.set_up(&tag, Duration::from_secs(2), 1);
+            }
+        }
+    }
+
+    /// Checks that the ends of calls that were over at a time are told as the rule has it.
+    fn expect_told(&self, tags: &[String], over: Instant) {
+        for tag in tags {
+            let left = TOLD_WITHIN.saturating_sub(over.elapsed()) + Duration::from_secs(1);
+            let told = self.caller.over(tag, left);
+            let took = told.map(|at| at.saturating_duration_since(over));
+            eprintln!("{tag} told after {took:?}");
+            assert!(took.is_some_and(|t| t <= TOLD_WITHIN), "{tag} told after {took:?}");
+        }
+    }
+
+    /// Checks that calls stand, and that their ends are passed on once the exchange says so.
+    fn expect_kept(&self, tags: &[String]) {
+        for tag in tags {
+            assert_eq!(self.caller.told_over(tag), None, "{tag} was cut");
+            self.exchange.release(tag);
+            let released = Instant::now();
+            let told = self.caller.over(tag, PATIENCE).expect("the release is passed on");
+            assert!(told - released < PASSED_ON_WITHIN, "{tag} told after {:?}", told - released);
+        }
+    }
+}
+
+/// One or thirteen calls at an exchange whose machine vanishes, with set-ups offered to it in an interval.
+fn vanishes(calls: usize, is_wide: bool, interval: Option<Duration>) {
+    let mut world = World::new(Manners::PROTOCOL, is_wide);
+    let tags = world.stand(calls);
+    world.exchange.vanish();
+    let over = Instant::now();
+    world.offer(TOLD_WITHIN, interval);
+    world.expect_told(&tags, over);
+}
+
+const MS: fn(u64) -> Duration = Duration::from_millis;
+
+#[test]
+fn vanished_with_nothing_offered() {
+    vanishes(1, true, None);
+}
+
+#[test]
+fn vanished_with_set_ups_offered_often() {
+    vanishes(13, true, Some(MS(200)));
+}
+
+/// A machine that vanishes, and a new process at its address some time later.
+fn replaced(after: u64, is_wide: bool, interval: Option<Duration>) {
+    let mut world = World::new(Manners::PROTOCOL, is_wide);
+    let tags = world.stand(3);
+    world.exchange.vanish();
+    let over = Instant::now();
+    world.offer(MS(after), interval);
+    world.exchange.replace();
+    world.offer(TOLD_WITHIN.saturating_sub(over.elapsed()), interval);
+    world.expect_told(&tags, over);
+    let next = world.tag();
+    assert!(world.caller.set_up(&next, Duration::from_secs(9), 1));
+    assert!(world.caller.stands(&next, PATIENCE), "the new process is reached");
+}
+
+#[test]
+fn replaced_after_five_seconds_with_nothing_offered() {
+    replaced(5000, true, None);
+}
+
+/// A process that stands still for longer than the rule allows: what ends there meanwhile can't be told of.
+#[test]
+fn hung_for_good() {
+    let mut world = World::new(Manners::PROTOCOL, true);
+    let tags = world.stand(2);
+    world.exchange.hang();
+    let over = Instant::now();
+    world.exchange.release(TAG);
+    world.offer(TOLD_WITHIN, None);
+    world.expect_told(&tags[..1], over);
+}
+
+/// An exchange with nothing to say, in any manner that peers have.
+fn lives_in_silence(manners: Manners, is_wide: bool) {
+    let mut world = World::new(manners, is_wide);
+    let tags = world.stand(2);
+    world.offer(MS(16_000), None);
+    world.expect_kept(&tags);
+}
+
+#[test]
+fn silent_and_alive() {
+    lives_in_silence(Manners::PROTOCOL, true);
+}
+
+#[test]
+fn silent_and_alive_on_one_connection() {
+    lives_in_silence(Manners::PROTOCOL, false);
+}
+
+#[test]
+fn silent_and_alive_without_a_greeting() {
+    lives_in_silence(Manners { greets: false, reports: false, ..Manners::PROTOCOL }, true);
+}
+
+#[test]
+fn silent_and_alive_and_keeps_connections_open() {
+    let manners = Manners { greets: false, reports: false, closes: false, ..Manners::PROTOCOL };
+    lives_in_silence(manners, true);
+}
+
+/// An exchange that stalls for some time and goes on, in either way of stalling.
+fn stalls(time: u64, is_wide: bool, is_cut_off: bool) {
+    let mut world = World::new(Manners::PROTOCOL, is_wide);
+    let tags = world.stand(2);
+    if is_cut_off {
+        world.exchange.cut_off();
+    } else {
+        world.exchange.hang();
+    }
+    world.offer(MS(time), None);
+    world.exchange.reconnect();
+    world.offer(MS(10_000), None);
+    world.expect_kept(&tags);
+}
+
+#[test]
+fn hung_for_two_seconds() {
+    stalls(2000, true, false);
+}
+
+#[test]
+fn hung_for_four_seconds() {
+    stalls(4000, false, false);
+}
+
+#[test]
+fn cut_off_for_two_seconds() {
+    stalls(2000, false, true);
+}
+
+#[test]
+fn cut_off_for_four_seconds() {
+    stalls(4000, true, true);
+}
+
+/// Every connection is reset, one by one, and the process lives on.
+#[test]
+fn connections_reset_in_turn() {
+    let mut world = World::new(Manners::PROTOCOL, false);
+    let tags = world.stand(2);
+    for _ in 0..3 {
+        world.exchange.reset_connections();
+        world.offer(MS(3000), None);
+    }
+    world.expect_kept(&tags);
+}
