--- a/node/src/end.rs
+++ b/node/src/end.rs
@@ -57,6 +57,8 @@
     Fault,
     /// The exchange reset the set-up or cut the call.
     Cut,
+    /// The call stood at a process that has given no sign of life for too long.
+    Lost,
 }
 
 impl End {
@@ -68,7 +70,7 @@
             End::Closed | End::Broken | End::Silent | End::StoppedShort => Outcome::Disconnected,
             End::Garbage | End::Oversized => Outcome::Disconnected,
             End::Backlog | End::ClosedHere | End::Overtaken => Outcome::Disconnected,
-            End::Cut => Outcome::Reset,
+            End::Cut | End::Lost => Outcome::Reset,
             End::TimedOut => Outcome::TimedOut,
             End::GivenUp => Outcome::Cancelled,
             End::NotSent => Outcome::NotSent,
@@ -117,6 +119,7 @@
             End::NumberBusy => "number busy",
             End::Fault => "fault",
             End::Cut => "cut",
+            End::Lost => "lost",
         }
     }
 }
--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -4,8 +4,13 @@
 //! says, it holds to what the rules ask of any front: one final answer before the caller gives up, one
 //! attempt out, the wait for release, and nothing new to an exchange that drains or is gone.
 
+mod upkeep;
+
+pub use upkeep::Upkeep;
+
 use crate::deadlines::Deadlines;
 use crate::end::End;
+use crate::liveness::{Incarnation, Liveness};
 use crate::notices::Notice;
 use crate::slots::{Slots, Token};
 use slateshed::*;
@@ -15,10 +20,6 @@
 
 /// The final answer is written this long before the caller gives up at the latest.
 const ANSWER_MARGIN: Duration = Duration::from_millis(25);
-/// An exchange that can't be reached for this long has lost its calls: what stood there is released in
-/// time for the 8 s that the rules leave.
-const LOST_AFTER: Duration = Duration::from_secs(5);
-
 /// A processor has one line. A direct set-up that this many sent later have overtaken, each by this time at least,
 /// will have no answer: it was lost or held up on its way back.
 const OVERTAKEN_BY: u32 = 4;
@@ -122,8 +123,8 @@
     Answer(CallToken),
     /// The end of the wait for an attempt.
     Attempt(AttemptToken),
-    /// An exchange has been unreachable for a while.
-    Lost(ExchangeId, u64),
+    /// It is time to look whether an exchange at which calls stand still lives.
+    Review(ExchangeId),
 }
 
 /// How many calls of a class have got which final answer.
@@ -158,6 +159,10 @@
     pub attempt_ends: BTreeMap<&'static str, u64>,
     /// Set-ups that were not the first of their call.
     pub retries: u64,
+    /// Checks of exchanges at which calls stand and that were silent.
+    pub checks: u64,
+    /// Observations that spoke against the life of an exchange.
+    pub adverse_observations: u64,
 }
 
 #[derive(Debug)]
@@ -183,8 +188,9 @@
     number: u32,
     sent: Duration,
     stands: bool,
-    /// When it was answered.
+    /// When it was answered, and by which process.
     stood: Duration,
+    incarnation: Incarnation,
     /// It went to its destination; how many later ones that did have been answered since.
     direct: bool,
     overtaken: u32,
@@ -196,8 +202,9 @@
     number: ExchangeNumber,
     phase: Phase,
     started: Duration,
-    /// Counts the spells in which it could not be reached; odd while one lasts.
-    spell: u64,
+    liveness: Liveness,
+    /// A review is due in time.
+    is_watched: bool,
 }
 
 /// The engine.
@@ -222,8 +229,12 @@
     releases: BTreeMap<&'static str, u64>,
     attempt_ends: BTreeMap<&'static str, u64>,
     retries: u64,
+    checks: u64,
+    adverse_observations: u64,
     /// What the log has not been told yet.
     notices: VecDeque<Notice>,
+    /// What is wanted of the connections to exchanges.
+    upkeep: VecDeque<Upkeep>,
 }
 
 impl Engine {
@@ -248,7 +259,10 @@
             releases: BTreeMap::new(),
             attempt_ends: BTreeMap::new(),
             retries: 0,
+            checks: 0,
+            adverse_observations: 0,
             notices: VecDeque::new(),
+            upkeep: VecDeque::new(),
         })
     }
 
@@ -300,6 +314,8 @@
             releases: self.releases.clone(),
             attempt_ends: self.attempt_ends.clone(),
             retries: self.retries,
+            checks: self.checks,
+            adverse_observations: self.adverse_observations,
         }
     }
 
@@ -397,11 +413,13 @@
         }
     }
 
-    /// The exchange has answered: the call stands. False if the attempt is over or stood before.
+    /// The exchange has answered: the call stands. False if the attempt is over or stood before. `by`: the process
+    /// that the answer's connection leads to; the newest, where fronts don't tell processes apart.
     pub fn answered<D: From<Wake>>(
         &mut self,
         now: Duration,
         attempt: AttemptToken,
+        by: Option<Incarnation>,
         description: String,
         d: &mut Deadlines<D>,
     ) -> bool {
@@ -409,6 +427,10 @@
             return false;
         };
         (a.stands, a.stood) = (true, now);
+        if let Some(e) = self.exchanges.get_mut(&a.exchange) {
+            a.incarnation = by.unwrap_or_else(|| e.liveness.newest(now));
+            e.liveness.heard(now, a.incarnation);
+        }
         let (call, number, delay) = (a.call, a.number, now.saturating_sub(a.sent));
         let (exchange, sent, direct) = (a.exchange, a.sent, a.direct);
         self.commands.push_back(Command::Answer(call, description));
@@ -419,6 +441,7 @@
             self.overtake(now, exchange, sent);
         }
         self.tell(now, Event::Stands { call: CallId(call.0.bits()), attempt: number, delay }, d);
+        self.watch(now, exchange, d);
         true
     }
 
@@ -497,30 +520,6 @@
         self.tell(now, Event::Circuits { exchange, free, size }, d);
     }
 
-    /// Whether an exchange can be reached. One that stays out of reach has lost its calls; one whose
-    /// process refuses connections has lost them already.
-    pub fn reachable<D: From<Wake>>(
-        &mut self,
-        now: Duration,
-        exchange: ExchangeId,
-        failed: Option<End>,
-        d: &mut Deadlines<D>,
-    ) {
-        let Some(e) = self.exchanges.get_mut(&exchange) else {
-            return;
-        };
-        let out = e.spell % 2 == 1;
-        match failed {
-            None if out => e.spell += 1,
-            Some(End::Refused) => self.lose(now, exchange, d),
-            Some(_) if !out => {
-                e.spell += 1;
-                d.set(now + LOST_AFTER, Wake::Lost(exchange, e.spell).into());
-            }
-            _ => {}
-        }
-    }
-
     /// News of the list.
     pub fn list<D: From<Wake>>(
         &mut self,
@@ -549,7 +548,8 @@
                 number: l.number,
                 phase: l.phase,
                 started: l.started,
-                spell: 0,
+                liveness: Liveness::default(),
+                is_watched: false,
             });
             // A process that has started anew knows nothing of the calls before; one withdrawn has none.
             if l.phase == Phase::Gone || l.started > e.started {
@@ -599,11 +599,7 @@
                 }
             }
             Wake::Answer(call) => self.last_moment(now, call, d),
-            Wake::Lost(exchange, spell) => {
-                if self.exchanges.get(&exchange).is_some_and(|e| e.spell == spell) {
-                    self.lose(now, exchange, d);
-                }
-            }
+            Wake::Review(exchange) => self.review(now, exchange, d),
         }
         self.run(now, d);
     }
@@ -785,6 +781,7 @@
             sent: now,
             stands: false,
             stood: now,
+            incarnation: Incarnation::default(),
             direct,
             overtaken: 0,
         };
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod end;
 pub mod engine;
 pub mod figures;
+pub mod liveness;
 pub mod log;
 pub mod net;
 pub mod notices;
--- /dev/null
+++ b/node/src/liveness.rs
@@ -0,0 +1,425 @@
+//! Whether the process at an exchange still lives, from what passes anyway. Nothing is asked of the exchange for it.
+//!
+//! A sign of life is something that only a living process brings about: bytes on a connection, or a connection closed
+//! in good order. It proves the process at the other end of that connection, and no other. A new process may serve at
+//! the same address, so connections are told apart by [`Incarnation`]: one that comes up while there is reason to doubt
+//! the process before begins a new incarnation, until an older connection shows that both lead to the same process.
+//! Where the reason is weak, both are assumed to be the same until something speaks against it.
+//!
+//! What stands at an incarnation without a sign of life for [`LOST_AFTER`] is lost, where something speaks against its
+//! life as well: dials that failed, set-ups without an answer, checks without a result, or a newer incarnation.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// What stands at a process without a sign of life for this long is over. The rules leave 8 s from its end, which may
+/// have come right after the last sign; the rest is for the way to the caller and a loop that is late.
+pub const LOST_AFTER: Duration = Duration::from_millis(7200);
+/// A process at which calls stand is checked when it has been silent for this long: once, to learn its [`Habit`].
+const CHECK_AFTER_AT_FIRST: Duration = Duration::from_millis(500);
+/// The same for one that closes in return what is closed on it: each check tells whether it lives.
+const CHECK_AFTER_IF_IT_CLOSES: Duration = Duration::from_millis(3500);
+/// The same for one that keeps such connections: two dials that fail in a row fit into an outage of three seconds.
+const CHECK_AFTER_IF_IT_KEEPS: Duration = Duration::from_secs(2);
+/// A check without a sign of life within this time has failed, and another may begin.
+const CHECK_TAKES: Duration = Duration::from_secs(1);
+/// Adverse observations in a row from which on a new connection is not taken for one to the same process: one dial in
+/// fifty never comes up, and an answer may be lost.
+const DOUBTED_FROM: u32 = 2;
+/// Incarnations kept in mind; beyond it the two oldest count as one.
+const MOST_INCARNATIONS: usize = 16;
+
+/// One process at an exchange, as far as connections tell processes apart. Later ones are greater.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Incarnation(u32);
+
+/// One observation that speaks against the life of the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Adverse {
+    /// A dial was refused or did not come up in time.
+    DialFailed,
+    /// So many set-ups were given up with nothing heard since they were sent, on a connection to this incarnation.
+    Unanswered(u32, Incarnation),
+    /// One connection was reset while others were left.
+    Reset,
+    /// All connections to an incarnation were reset at once: a process that dies does that.
+    AllReset(Incarnation),
+    /// A connection to an incarnation has missed what others have brought.
+    MissedReports(Incarnation),
+    /// A check brought no sign of life.
+    CheckFailed,
+}
+
+impl Adverse {
+    fn weight(self) -> u32 {
+        match self {
+            Adverse::Reset | Adverse::MissedReports(_) => 0,
+            Adverse::DialFailed | Adverse::CheckFailed => 1,
+            Adverse::Unanswered(set_ups, _) => set_ups,
+            Adverse::AllReset(_) => DOUBTED_FROM,
+        }
+    }
+
+    /// The incarnation whose own connections it speaks of.
+    fn incarnation(self) -> Option<Incarnation> {
+        match self {
+            Adverse::Unanswered(_, i) | Adverse::AllReset(i) | Adverse::MissedReports(i) => Some(i),
+            Adverse::DialFailed | Adverse::Reset | Adverse::CheckFailed => None,
+        }
+    }
+}
+
+/// What an exchange does with a connection that is closed on it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Habit {
+    /// Not known yet.
+    #[default]
+    Unknown,
+    /// It closes it in return: where it does not, it is not there.
+    Closes,
+    /// It keeps it open for longer than a check takes.
+    Keeps,
+}
+
+/// Connections that are known to lead to one process.
+#[derive(Clone, Copy, Debug)]
+struct Group {
+    /// The first incarnation in it; the group ends where the next begins.
+    first: Incarnation,
+    /// When its first connection came up.
+    began: Duration,
+    /// The last sign of life on its own connections.
+    proven: Duration,
+    /// It is assumed to be the same process as the group before.
+    is_assumed_same: bool,
+}
+
+/// What a review of an exchange comes to.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Review {
+    /// Incarnations whose calls are lost, by the first of each group.
+    pub lost: Vec<Incarnation>,
+    /// The incarnation to be checked now.
+    pub check: Option<Incarnation>,
+    /// When to look again.
+    pub next: Duration,
+}
+
+/// What is known of the processes at one exchange.
+#[derive(Debug, Default)]
+pub struct Liveness {
+    /// Oldest first.
+    groups: Vec<Group>,
+    /// The incarnation that the next doubtful connection begins.
+    next: u32,
+    /// Weight of adverse observations since the newest process last gave a sign of life, and whether there was any.
+    adverse: u32,
+    is_suspect: bool,
+    /// When a check was last asked for, and since when one is under way.
+    asked: Option<Duration>,
+    checking: Option<Duration>,
+    /// It says something first on each new connection.
+    greets: bool,
+    habit: Habit,
+}
+
+impl Liveness {
+    fn index(&self, incarnation: Incarnation) -> Option<usize> {
+        self.groups.iter().rposition(|g| g.first <= incarnation)
+    }
+
+    /// The first incarnation of the group that one belongs to; those of one group are the same process.
+    pub fn group(&self, incarnation: Incarnation) -> Incarnation {
+        self.index(incarnation).map_or(incarnation, |i| self.groups[i].first)
+    }
+
+    /// Whether newer connections than those of an incarnation may lead to another process.
+    pub fn is_followed(&self, incarnation: Incarnation) -> bool {
+        self.index(incarnation).is_none_or(|i| i + 1 < self.groups.len())
+    }
+
+    /// Whether something speaks against the life of a process.
+    pub fn is_doubted(&self, incarnation: Incarnation) -> bool {
+        let newer = self.index(incarnation).map_or(&self.groups[..], |i| &self.groups[i + 1..]);
+        self.adverse > 0 || newer.iter().any(|g| !g.is_assumed_same)
+    }
+
+    /// The incarnation of the newest process, which is taken to live where nothing is known of any.
+    pub fn newest(&mut self, now: Duration) -> Incarnation {
+        match self.groups.last() {
+            Some(group) => group.first,
+            None => self.begin(now, false),
+        }
+    }
+
+    /// Since when there has been no sign of life of a process.
+    pub fn silent_for(&self, now: Duration, incarnation: Incarnation) -> Duration {
+        now.saturating_sub(self.index(incarnation).map_or(Duration::ZERO, |i| self.proven(i)))
+    }
+
+    /// The last sign of life of a process: on its own connections, or on those assumed to lead there.
+    fn proven(&self, index: usize) -> Duration {
+        let assumed = self.groups[index + 1..].iter().take_while(|g| g.is_assumed_same);
+        assumed.fold(self.groups[index].proven, |proven, g| proven.max(g.proven))
+    }
+
+    fn begin(&mut self, now: Duration, is_assumed_same: bool) -> Incarnation {
+        let first = Incarnation(self.next);
+        self.next = self.next.saturating_add(1);
+        // Whoever speaks first has not done so yet; the system accepts connections for a process that hangs.
+        let before = self.groups.len().checked_sub(1).filter(|_| self.greets);
+        let proven = before.map_or(now, |last| self.proven(last));
+        self.groups.push(Group { first, began: now, proven, is_assumed_same });
+        if self.groups.len() > MOST_INCARNATIONS {
+            self.groups.remove(1);
+        }
+        if !is_assumed_same {
+            (self.adverse, self.is_suspect) = (0, false);
+        }
+        first
+    }
+
+    /// A connection has come up; the incarnation that it leads to.
+    pub fn connected(&mut self, now: Duration) -> Incarnation {
+        let Some(newest) = self.groups.last().copied() else {
+            return self.begin(now, false);
+        };
+        let is_checked = self.checking.is_some_and(|since| newest.began.max(newest.proven) < since);
+        let is_told_apart = self.habit == Habit::Closes && (self.is_suspect || is_checked);
+        if self.adverse >= DOUBTED_FROM || is_told_apart {
+            return self.begin(now, false);
+        }
+        if self.is_suspect && !newest.is_assumed_same {
+            return self.begin(now, true);
+        }
+        if !self.greets {
+            self.heard(now, newest.first);
+        }
+        newest.first
+    }
+
+    /// A sign of life on a connection of an incarnation: connections that came up since lead to the same process.
+    pub fn heard(&mut self, now: Duration, incarnation: Incarnation) {
+        let Some(index) = self.index(incarnation) else {
+            return;
+        };
+        self.groups.truncate(index + 1);
+        self.groups[index].proven = now;
+        (self.adverse, self.is_suspect) = (0, false);
+    }
+
+    /// The peer has closed a connection in good order; `asked`: it was closed on it before.
+    pub fn closed(&mut self, now: Duration, incarnation: Incarnation, asked: bool) {
+        if asked {
+            self.habit = Habit::Closes;
+        }
+        self.heard(now, incarnation);
+    }
+
+    /// The peer said something as soon as a connection was up.
+    pub fn greeted(&mut self) {
+        self.greets = true;
+    }
+
+    /// Takes in what speaks against the life of the process.
+    pub fn adverse(&mut self, observation: Adverse) {
+        let index = observation.incarnation().and_then(|i| self.index(i));
+        match index.filter(|i| i + 1 < self.groups.len()) {
+            // The old connections are dead while newer ones live: these lead elsewhere.
+            Some(index) => self.groups[index + 1].is_assumed_same = false,
+            None => {
+                self.adverse = self.adverse.saturating_add(observation.weight());
+                self.is_suspect = true;
+            }
+        }
+    }
+
+    /// Looks at the processes at which calls stand, by the groups of their incarnations.
+    pub fn review(&mut self, now: Duration, with_calls: &BTreeSet<Incarnation>) -> Review {
+        self.settle_check(now, with_calls);
+        let there: Vec<_> =
+            (0..self.groups.len()).filter(|i| with_calls.contains(&self.groups[*i].first)).collect();
+        let is_lost =
+            |i: &usize| now >= self.proven(*i) + LOST_AFTER && self.is_doubted(self.groups[*i].first);
+        let (lost, live): (Vec<_>, Vec<_>) = there.into_iter().partition(is_lost);
+        let lost = lost.into_iter().map(|i| self.groups[i].first).collect();
+        // What is assumed of a process is looked into as well: its own signs of life count here.
+        let oldest = live.iter().copied().min_by_key(|i| self.groups[*i].proven);
+        let check = oldest.filter(|i| now >= self.next_check(now, *i));
+        if check.is_some() {
+            self.asked = Some(now);
+        }
+        let next = self.next_review(now, oldest, &live);
+        Review { lost, check: check.map(|i| self.groups[i].first), next }
+    }
+
+    /// A check that was asked for has begun. Without one that could begin, silence proves nothing.
+    pub fn began_check(&mut self, now: Duration) {
+        self.checking = Some(now);
+    }
+
+    /// When a process is to be checked: once it has been silent, and again while it is. One that is assumed to live is
+    /// not checked as often.
+    fn next_check(&self, now: Duration, index: usize) -> Duration {
+        let is_assumed = now < self.proven(index) + self.check_after();
+        let pause = if is_assumed { self.check_after() } else { CHECK_TAKES };
+        let again = self.asked.map_or(Duration::ZERO, |at| at + pause);
+        again.max(self.groups[index].proven + self.check_after())
+    }
+
+    fn check_after(&self) -> Duration {
+        match self.habit {
+            Habit::Unknown => CHECK_AFTER_AT_FIRST,
+            Habit::Closes => CHECK_AFTER_IF_IT_CLOSES,
+            Habit::Keeps => CHECK_AFTER_IF_IT_KEEPS,
+        }
+    }
+
+    /// A check that has had its time without a sign of life has failed.
+    fn settle_check(&mut self, now: Duration, with_calls: &BTreeSet<Incarnation>) {
+        let Some(since) = self.checking.filter(|since| now >= *since + CHECK_TAKES) else {
+            return;
+        };
+        self.checking = None;
+        if self.habit == Habit::Unknown {
+            self.habit = Habit::Keeps;
+        }
+        let failed =
+            |i: &usize| with_calls.contains(&self.groups[*i].first) && self.groups[*i].proven < since;
+        let Some(index) = (0..self.groups.len()).find(failed) else {
+            return;
+        };
+        if self.proven(index) < since {
+            self.adverse(Adverse::CheckFailed);
+        } else if self.habit == Habit::Closes {
+            self.groups[index + 1].is_assumed_same = false;
+        }
+    }
+
+    fn next_review(&self, now: Duration, oldest: Option<usize>, live: &[usize]) -> Duration {
+        let lost = live.iter().map(|i| self.proven(*i) + LOST_AFTER);
+        let check = oldest.map(|i| self.next_check(now, i));
+        let settled = self.checking.map(|since| since + CHECK_TAKES);
+        let due = lost.chain(check).chain(settled).filter(|at| *at > now).min();
+        due.map_or(now + CHECK_TAKES, |at| at.min(now + CHECK_TAKES * 2))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn ms(n: u64) -> Duration {
+        Duration::from_millis(n)
+    }
+
+    /// Reviews every 50 ms until something is lost; when.
+    fn lost_at(liveness: &mut Liveness, from: u64, with: Incarnation) -> Option<u64> {
+        let with_calls = BTreeSet::from([with]);
+        (from..from + 30_000).step_by(50).find(|at| {
+            let review = liveness.review(ms(*at), &with_calls);
+            review.check.iter().for_each(|_| liveness.began_check(ms(*at)));
+            !review.lost.is_empty()
+        })
+    }
+
+    /// Guards against calls that are cut since nobody looked: silence alone proves nothing.
+    #[test]
+    fn silence_is_checked_and_loses_nothing_by_itself_while_connections_come_up() {
+        let mut liveness = Liveness::default();
+        let one = liveness.connected(ms(0));
+        let with_calls = BTreeSet::from([one]);
+        let due = Review { next: ms(500), ..Review::default() };
+        assert_eq!(liveness.review(ms(499), &with_calls), due);
+        assert_eq!(liveness.review(ms(500), &with_calls).check, Some(one));
+        liveness.began_check(ms(500));
+        assert_eq!(liveness.review(ms(550), &with_calls).check, None, "one at a time");
+        assert_eq!(liveness.connected(ms(600)), one);
+        assert_eq!(liveness.review(ms(1500), &with_calls).next, ms(2600), "it has not closed in return");
+        assert_eq!(liveness.review(ms(2600), &with_calls).check, Some(one));
+        assert_eq!(liveness.connected(ms(2700)), one);
+        assert_eq!(liveness.review(ms(9000), &with_calls).lost, []);
+    }
+
+    /// Guards against a loss long before the rules ask for it, or after.
+    #[test]
+    fn what_is_doubted_is_lost_in_time() {
+        let mut liveness = Liveness::default();
+        let one = liveness.connected(ms(0));
+        liveness.heard(ms(1000), one);
+        liveness.adverse(Adverse::DialFailed);
+        assert_eq!(lost_at(&mut liveness, 3500, one), Some(8200));
+    }
+
+    /// Guards against a process that the system answers for: one that always spoke first and no longer does.
+    #[test]
+    fn a_connection_that_comes_up_proves_nothing_of_whoever_speaks_first() {
+        let mut liveness = Liveness::default();
+        liveness.greeted();
+        let one = liveness.connected(ms(0));
+        assert_eq!(liveness.connected(ms(2500)), one);
+        assert_eq!(lost_at(&mut liveness, 2500, one), Some(7200));
+    }
+
+    /// Guards against a new process that vouches for calls at the one before.
+    #[test]
+    fn after_an_outage_only_the_old_connections_prove_the_old_process() {
+        let mut liveness = Liveness::default();
+        let old = liveness.connected(ms(0));
+        liveness.adverse(Adverse::DialFailed);
+        liveness.adverse(Adverse::DialFailed);
+        let new = liveness.connected(ms(3100));
+        assert!(new != old && liveness.is_doubted(old) && !liveness.is_doubted(new));
+        liveness.heard(ms(3200), new);
+        assert_eq!(liveness.connected(ms(3300)), new, "more of them lead to the same process");
+        assert_eq!(lost_at(&mut liveness, 3300, old), Some(7200));
+        assert_eq!(liveness.group(new), new);
+    }
+
+    /// Guards against calls cut at a process that was cut off and is there again.
+    #[test]
+    fn an_old_connection_that_speaks_shows_that_it_is_the_same_process() {
+        let mut liveness = Liveness::default();
+        let old = liveness.connected(ms(0));
+        liveness.adverse(Adverse::AllReset(old));
+        let new = liveness.connected(ms(4100));
+        liveness.heard(ms(4200), old);
+        assert_eq!(liveness.group(new), old);
+        assert!(!liveness.is_followed(old));
+    }
+
+    /// Guards against trust in a connection that comes up for a check while the old ones are not closed in return, as
+    /// this process has always done.
+    #[test]
+    fn whoever_closes_in_return_is_told_apart_without_an_outage() {
+        let mut liveness = Liveness::default();
+        let old = liveness.connected(ms(0));
+        liveness.closed(ms(10), old, true);
+        let with_calls = BTreeSet::from([old]);
+        assert_eq!(liveness.review(ms(3510), &with_calls).check, Some(old));
+        liveness.began_check(ms(3510));
+        let new = liveness.connected(ms(3520));
+        assert_ne!(new, old);
+        liveness.closed(ms(3530), old, true);
+        assert_eq!(liveness.group(new), old, "it has closed in return");
+    }
+
+    /// Guards against one dial that never comes up, or one lost answer, by which a living process is doubted; and against
+    /// a new process that vouches for the one before, where the old connections turn out to be dead.
+    #[test]
+    fn after_one_adverse_observation_connections_are_assumed_to_lead_to_the_same_process() {
+        let first = Incarnation(0);
+        for observation in [Adverse::DialFailed, Adverse::Unanswered(1, first), Adverse::Reset] {
+            let mut liveness = Liveness::default();
+            let old = liveness.connected(ms(0));
+            liveness.adverse(observation);
+            let new = liveness.connected(ms(2600));
+            liveness.heard(ms(6000), new);
+            assert!(new != old && !liveness.is_doubted(old));
+            assert_eq!(liveness.silent_for(ms(6000), old), ms(0));
+            liveness.adverse(Adverse::MissedReports(old));
+            assert!(liveness.is_doubted(old) && !liveness.is_doubted(new));
+            assert_eq!(lost_at(&mut liveness, 6000, old), Some(7200));
+        }
+    }
+}
--- a/node/src/net/conn.rs
+++ b/node/src/net/conn.rs
@@ -3,6 +3,7 @@
 use crate::end::End;
 use mio::net::TcpStream;
 use std::io::{ErrorKind, Read, Write};
+use std::net::Shutdown;
 
 /// Bytes read at a time.
 const CHUNK: usize = 16 * 1024;
@@ -24,6 +25,8 @@
     written: usize,
     /// Bytes sent, ever, and of those the ones that the system has not taken over yet are in `output`.
     sent: u64,
+    /// No more is sent: this side is closed once all that waits is written.
+    finishing: bool,
 }
 
 /// What one connection may hold.
@@ -41,7 +44,7 @@
         // Each message is wanted at once; a connection that can't have it still works.
         let _ = stream.set_nodelay(true);
         let (input, output) = (Vec::new(), Vec::new());
-        Conn { stream, up, input, taken: 0, bounds, output, written: 0, sent: 0 }
+        Conn { stream, up, input, taken: 0, bounds, output, written: 0, sent: 0, finishing: false }
     }
 
     /// Whether the connection has come up.
@@ -131,6 +134,13 @@
         self.flush()
     }
 
+    /// Closes this side once all that waits has been written; the peer may still send.
+    pub fn finish(&mut self) {
+        self.finishing = true;
+        // A connection that is broken already shows that when it is read.
+        let _ = self.flush();
+    }
+
     /// Bytes sent so far: where the next message begins in the stream.
     pub fn sent(&self) -> u64 {
         self.sent
@@ -162,6 +172,9 @@
         if self.output.capacity() > KEPT {
             self.output = Vec::new();
         }
+        if std::mem::take(&mut self.finishing) {
+            let _ = self.stream.shutdown(Shutdown::Write);
+        }
         Ok(())
     }
 
--- a/node/src/net/exchanges.rs
+++ b/node/src/net/exchanges/mod.rs
@@ -1,12 +1,15 @@
 //! The exchanges' side of the platform's wire: few connections, kept open, since the state of a trunk
 //! group arrives unasked on them.
 
+mod upkeep;
+
 use super::conn::{dial_end, Conn};
 use super::lines::{figure, line, Message};
 use super::{Context, Due, Kind};
 use crate::config::Limits;
 use crate::end::End;
 use crate::engine::{AttemptToken, Cause, Command, Offer};
+use crate::liveness::{Adverse, Incarnation};
 use crate::slots::{Slots, Token};
 use mio::net::TcpStream;
 use mio::Interest;
@@ -23,8 +26,6 @@
 const REPLACE: Duration = Duration::from_millis(50);
 const REDIAL_MOST: Duration = Duration::from_secs(2);
 
-/// A set-up given up after this time, with nothing heard on its connection since, makes that suspect.
-const SILENT: Duration = Duration::from_millis(750);
 /// A message is written at once: what is still not whole after this time has stopped short.
 const STOPPED_SHORT: Duration = Duration::from_millis(200);
 /// States of the group that the other connections to an exchange brought while one brought none: that one is
@@ -53,6 +54,10 @@
     failures: u32,
     /// A redial is set already.
     waiting: bool,
+    /// The only connection is renewed, as the process that it leads to is silent: one more is dialled beside it.
+    renews: Option<Incarnation>,
+    /// Connections that were reset in a row, with nothing heard between.
+    resets: u32,
     /// Releases of calls that stand, with no connection to go on yet.
     unsent: Vec<(Duration, Vec<u8>)>,
 }
@@ -63,6 +68,11 @@
     /// Set-ups on it that have no answer yet.
     open: Vec<AttemptToken>,
     last_heard: Duration,
+    /// When it came up, and the process that it leads to; none before.
+    up_since: Duration,
+    incarnation: Option<Incarnation>,
+    /// Closed on this side since then: the peer is to close it as well.
+    closing: Option<Duration>,
     /// Anything has been heard on it: the exchange speaks first on each new one.
     heard: bool,
     /// States of the group heard on others since the last on this.
@@ -140,6 +150,8 @@
             links: Vec::new(),
             failures: 0,
             waiting: false,
+            renews: None,
+            resets: 0,
             unsent: Vec::new(),
         });
         peer.phase = phase;
@@ -193,7 +205,7 @@
             return;
         };
         if self.peers.get(&link.exchange).is_none_or(|p| !p.links.contains(&token)) {
-            self.end(token, End::ClosedHere, cx);
+            self.close_in_good_order(token, cx);
         }
     }
 
@@ -203,6 +215,11 @@
         links.iter().filter(|t| self.links.get(**t).is_some_and(|l| l.conn.is_up())).count()
     }
 
+    /// Whether a connection is up and not about to be closed.
+    fn is_usable(&self, token: &Token) -> bool {
+        self.links.get(*token).is_some_and(|l| l.conn.is_up() && l.closing.is_none())
+    }
+
     /// Makes sure that a connection is up or on its way, and several where one is up and set-ups may come. While
     /// none is, one at a time is tried.
     fn refill(&mut self, exchange: ExchangeId, cx: &mut Context) {
@@ -212,6 +229,7 @@
             };
             let several = peer.phase == Phase::InService && self.up(exchange) > 0;
             let want = if several { self.limits.links() } else { 1 };
+            let want = want + usize::from(peer.renews.is_some());
             if peer.waiting || peer.links.len() >= want || self.dial(exchange, cx).is_none() {
                 return;
             }
@@ -225,7 +243,8 @@
         let peer = self.peers.get(&exchange)?;
         let links = peer.links.iter().filter_map(|t| Some((*t, self.links.get(*t)?)));
         let spoilt = |l: &Link| l.part_since.is_some() || l.given_up.iter().any(|g| g == id);
-        let rank = |l: &Link| (spoilt(l), !l.heard, !l.conn.is_up(), l.open.len());
+        let followed = |l: &Link| l.incarnation.is_some_and(|i| cx.engine.is_followed(exchange, i));
+        let rank = |l: &Link| (spoilt(l), followed(l), !l.heard, !l.conn.is_up(), l.open.len());
         let best = links.min_by_key(|(_, l)| rank(l)).map(|(token, _)| token);
         best.or_else(|| self.dial(exchange, cx))
     }
@@ -240,7 +259,11 @@
         let mut stream = match TcpStream::connect(addr) {
             Ok(stream) => stream,
             Err(e) => {
-                failed(cx, dial_end(e.kind()));
+                let end = dial_end(e.kind());
+                failed(cx, end);
+                if end != End::NoSocket {
+                    cx.engine.adverse(cx.now, exchange, Adverse::DialFailed);
+                }
                 self.redial(exchange, cx);
                 return None;
             }
@@ -255,6 +278,9 @@
                 exchange,
                 open: Vec::new(),
                 last_heard: now,
+                up_since: now,
+                incarnation: None,
+                closing: None,
                 heard: false,
                 missed: 0,
                 part_since: None,
@@ -328,20 +354,7 @@
                     link.given_up.push_front(sent.offer.id.clone());
                 }
                 self.send(sent.link, &line("FINISH", &sent.offer.id, &[], Some(16), None));
-                // Nothing heard since the set-up: the machine may have vanished, and its connections would
-                // stay open and silent. The next set-up goes on a new one.
-                let unheard = |l: &Link| l.last_heard < sent.at;
-                if cx.now >= sent.at + SILENT && self.links.get(sent.link).is_some_and(unheard) {
-                    let name = cx.engine.name(sent.exchange);
-                    cx.log.line(cx.now, "exchange-silent", format_args!("{name}: next set-up redials"));
-                    let links = self.peers.get(&sent.exchange).map_or(Vec::new(), |p| p.links.clone());
-                    for token in links {
-                        if self.links.get(token).is_some_and(unheard) {
-                            self.retire(token, cx);
-                        }
-                    }
-                    self.refill(sent.exchange, cx);
-                }
+                self.observe_unanswered(&sent, cx);
                 self.close_if_done(sent.link, cx);
             }
             Command::ReleaseExchange(attempt, cause) => {
@@ -350,12 +363,8 @@
                 };
                 let rc = if cause == Cause::Normal { 16 } else { 41 };
                 let release = line("FINISH", &sent.offer.id, &[], Some(rc), None);
-                let is_up = |t: &Token| self.links.get(*t).is_some_and(|l| l.conn.is_up());
-                let on = Some(sent.link).filter(is_up);
-                let on = on.or_else(|| {
-                    self.pick(sent.exchange, "", cx)
-                        .filter(|t| self.links.get(*t).is_some_and(|l| l.conn.is_up()))
-                });
+                let on = Some(sent.link).filter(|t| self.is_usable(t));
+                let on = on.or_else(|| self.pick(sent.exchange, "", cx)).filter(|t| self.is_usable(t));
                 match on {
                     Some(token) => self.send(token, &release),
                     None => {
@@ -472,7 +481,7 @@
             };
             let read = link.conn.fill();
             if matches!(read, Ok(n) if n > 0) {
-                link.last_heard = cx.now;
+                self.observe_bytes(token, cx);
             }
             while let Some(text) = self.links.get_mut(token).map_or(Ok(None), |l| l.conn.line())? {
                 if let Some(link) = self.links.get_mut(token) {
@@ -498,9 +507,12 @@
 
     /// A connection has come up: what waited for one goes out, and more are dialled beside it.
     fn came_up(&mut self, token: Token, cx: &mut Context) {
-        let Some(exchange) = self.links.get(token).map(|l| l.exchange) else {
+        let Some(link) = self.links.get_mut(token) else {
             return;
         };
+        let exchange = link.exchange;
+        link.up_since = cx.now;
+        link.incarnation = Some(cx.engine.connected(cx.now, exchange));
         if let Some(peer) = self.peers.get_mut(&exchange) {
             for (until, release) in std::mem::take(&mut peer.unsent) {
                 if until > cx.now {
@@ -508,24 +520,30 @@
                 }
             }
         }
-        cx.engine.reachable(cx.now, exchange, None, cx.deadlines);
+        self.renewed(token, exchange, cx);
         self.refill(exchange, cx);
     }
 
     /// One connection has brought the state of the group. Another to the same exchange that has brought none
     /// for several of these is open and silent: what is on it would wait in vain.
-    fn reported(&mut self, token: Token, exchange: ExchangeId, now: Duration) {
+    fn reported(&mut self, token: Token, exchange: ExchangeId, cx: &mut Context) {
         let held = self.links.iter().filter(|(_, l)| l.exchange == exchange).count();
-        let Some(peer) = self.peers.get(&exchange).filter(|_| held <= REPORTED_ON) else {
+        if held > REPORTED_ON {
             return;
-        };
-        for other in &peer.links {
-            let Some(link) = self.links.get_mut(*other).filter(|l| l.heard) else {
+        }
+        let most_missed = MISSED * (held as u32 - 1);
+        let others = self.links.iter_mut().filter(|(_, l)| l.exchange == exchange && l.heard);
+        for (other, link) in others {
+            link.missed = if other == token { 0 } else { link.missed + 1 };
+            if link.missed < most_missed || cx.now < link.last_heard + MISSED_FOR {
                 continue;
-            };
-            link.missed = if *other == token { 0 } else { link.missed + 1 };
-            if link.missed >= MISSED * (held as u32 - 1) && now >= link.last_heard + MISSED_FOR {
-                self.doomed.push((*other, End::Silent));
+            }
+            match link.incarnation.filter(|_| link.closing.is_some()) {
+                // It may still be closed in return, or bring the end of a call.
+                Some(incarnation) => {
+                    cx.engine.adverse(cx.now, exchange, Adverse::MissedReports(incarnation));
+                }
+                None => self.doomed.push((other, End::Silent)),
             }
         }
     }
@@ -535,12 +553,8 @@
             return Ok(());
         };
         let exchange = link.exchange;
-        if let Some(link) = self.links.get_mut(token).filter(|l| !l.heard) {
-            link.heard = true;
-            if let Some(peer) = self.peers.get_mut(&exchange) {
-                peer.failures = 0;
-            }
-        }
+        let by = link.incarnation;
+        self.observe_first(token, &message.verb, cx);
         let attempt = self.by_tag.get(&(exchange, message.tag.clone())).copied();
         // What answers a set-up comes on its own connection; on another it answers one given up there.
         let elsewhere = |a: &AttemptToken| {
@@ -551,7 +565,7 @@
         // The state of the group comes unasked with each change, at once. What answers and releases repeat of it
         // was true when they left the exchange, and has been overtaken by the time they are here.
         if message.verb == "LOAD" {
-            self.reported(token, exchange, cx.now);
+            self.reported(token, exchange, cx);
             let load = message.opt("load");
             let count = |name: &str| figure(load, name).filter(|x| *x >= 0.0).map(|x| x as u32);
             if let Some(state) = count(&cx.words.report[0]).zip(count(&cx.words.report[1])) {
@@ -565,13 +579,14 @@
                 if let Some(sent) = self.attempts.get(&attempt) {
                     self.no_longer_open(sent.link, attempt);
                 }
-                if !cx.engine.answered(cx.now, attempt, description, cx.deadlines) {
+                if !cx.engine.answered(cx.now, attempt, by, description, cx.deadlines) {
                     cx.log.line(cx.now, "answer-twice", &message.tag);
                 }
             }
             ("FINISH", _) if message.rc.is_none() => return Err(End::Garbage),
             ("FINISH", Some(attempt)) => {
                 let end = end_of(message.rc, message.opt("note"), cx.engine.stands(attempt));
+                self.observe_call(attempt, cx);
                 self.forget(attempt);
                 cx.engine.attempt_ended(cx.now, attempt, end, cx.deadlines);
                 self.close_if_done(token, cx);
@@ -606,12 +621,14 @@
             let (name, open) = (cx.engine.name(exchange), link.open.len());
             cx.log.line(cx.now, "exchange-ended", format_args!("{name}: {end}, {open} open"));
         }
+        self.observe_end(&link, was_listed, end, cx);
         // A connection that could not be made says something of the exchange only where none is up, and where
         // it was not this side that ended it.
         let failed = !link.conn.is_up() && end != End::ClosedHere;
         let unreachable = failed && was_listed && self.up(exchange) == 0;
-        if unreachable {
-            cx.engine.reachable(cx.now, exchange, Some(end), cx.deadlines);
+        let is_open = |(_, l): (Token, &Link)| l.exchange == exchange && l.conn.is_up();
+        if unreachable && end == End::Refused && !self.links.iter().any(is_open) {
+            cx.engine.refused(cx.now, exchange, cx.deadlines);
         }
         if was_listed {
             if unreachable || !link.heard {
--- /dev/null
+++ b/node/src/net/exchanges/upkeep.rs
@@ -0,0 +1,242 @@
+//! What the connections to an exchange show of its process, and how they are renewed while it is silent.
+//!
+//! A check renews one idle connection: a new one is dialled, and the one that was silent for longest is closed in good
+//! order. Whether the new one comes up, and whether the exchange closes the old one in return, are the signs of life.
+//! No message is sent for it.
+
+use super::{Exchanges, Link, Sent};
+use crate::end::End;
+use crate::engine::Upkeep;
+use crate::liveness::{Adverse, Incarnation};
+use crate::net::{Context, Due};
+use crate::slots::Token;
+use slateshed::ExchangeId;
+use std::time::Duration;
+
+/// A set-up given up after this time, with nothing heard on its connection since, makes that suspect.
+const SILENT: Duration = Duration::from_millis(750);
+/// Whoever speaks first on a new connection does so within this time.
+const GREETS_WITHIN: Duration = Duration::from_millis(500);
+/// How long the peer has to close a connection that is closed on it, before that is looked at again.
+const CLOSES_WITHIN: Duration = Duration::from_secs(1);
+/// How long the last connection to a process at which calls stand is kept for that.
+const CLOSES_AT_LAST: Duration = Duration::from_secs(8);
+
+impl Exchanges {
+    /// Carries out what the engine wants of the connections to an exchange.
+    pub fn upkeep(&mut self, upkeep: Upkeep, cx: &mut Context) {
+        match upkeep {
+            Upkeep::Check(exchange, incarnation) => self.check(exchange, incarnation, cx),
+            Upkeep::Abandon(exchange, incarnation) => self.abandon(exchange, incarnation, cx),
+        }
+    }
+
+    /// Renews a connection to a process that has been silent. The only one there is is closed once another is up.
+    fn check(&mut self, exchange: ExchangeId, incarnation: Incarnation, cx: &mut Context) {
+        let several = self.up(exchange) > 1;
+        // Where set-ups are open on all, or none is up, these or the dials show as much.
+        let Some(oldest) = self.longest_silent(exchange, incarnation, cx) else {
+            return;
+        };
+        let name = cx.engine.name(exchange);
+        cx.log.line(cx.now, "exchange-checked", format_args!("exchange={name} several={several}"));
+        cx.engine.began_check(cx.now, exchange);
+        if several {
+            self.close_in_good_order(oldest, cx);
+        } else if let Some(peer) = self.peers.get_mut(&exchange) {
+            peer.renews = Some(incarnation);
+        }
+        self.refill(exchange, cx);
+    }
+
+    /// The connection to a process on which nothing is open and which was silent for longest; one that carries calls comes
+    /// last, as their ends are told there.
+    fn longest_silent(
+        &self,
+        exchange: ExchangeId,
+        incarnation: Incarnation,
+        cx: &Context,
+    ) -> Option<Token> {
+        let peer = self.peers.get(&exchange)?;
+        let links = peer.links.iter().filter_map(|t| Some((*t, self.links.get(*t)?)));
+        links
+            .filter(|(_, l)| l.conn.is_up() && l.open.is_empty())
+            .filter(|(_, l)| l.incarnation.is_some_and(|i| cx.engine.is_same(exchange, i, incarnation)))
+            .min_by_key(|(t, l)| (self.carries_calls(*t, cx), l.last_heard))
+            .map(|(token, _)| token)
+    }
+
+    /// A connection has come up beside the only one, which may be closed now.
+    pub(super) fn renewed(&mut self, token: Token, exchange: ExchangeId, cx: &mut Context) {
+        let renews = self.peers.get_mut(&exchange).and_then(|p| p.renews.take());
+        let oldest = renews.and_then(|incarnation| self.longest_silent(exchange, incarnation, cx));
+        if let Some(oldest) = oldest.filter(|t| *t != token) {
+            self.close_in_good_order(oldest, cx);
+        }
+    }
+
+    /// Closes a connection on which nothing is open: no more is sent on it, and what the peer still sends is read until
+    /// it closes it as well.
+    pub(super) fn close_in_good_order(&mut self, token: Token, cx: &mut Context) {
+        let Some(link) = self.links.get_mut(token) else {
+            return;
+        };
+        if !link.conn.is_up() {
+            return self.end(token, End::ClosedHere, cx);
+        }
+        if link.closing.is_some() {
+            return;
+        }
+        link.closing = Some(cx.now);
+        link.conn.finish();
+        let exchange = link.exchange;
+        if let Some(peer) = self.peers.get_mut(&exchange) {
+            peer.links.retain(|t| *t != token);
+        }
+        cx.deadlines.set(cx.now + CLOSES_WITHIN, Due::Closing(token));
+    }
+
+    /// The peer should have closed a connection by now. One that carries calls is kept until their ends are told, as a
+    /// peer that does not close it may tell them there. So is the last one to a process at which calls stand, for a
+    /// while: that it is closed or speaks may be the only sign that this process lives.
+    pub fn closing_due(&mut self, token: Token, cx: &mut Context) {
+        let Some((link, since)) = self.links.get(token).and_then(|l| Some((l, l.closing?))) else {
+            return;
+        };
+        let exchange = link.exchange;
+        let is_witness = link.incarnation.is_some_and(|i| {
+            cx.engine.stands_at(exchange, i) && !self.has_other(token, exchange, i, cx)
+        });
+        let is_needed = is_witness && cx.now < since + CLOSES_AT_LAST;
+        if is_needed || self.carries_calls(token, cx) {
+            cx.deadlines.set(cx.now + CLOSES_WITHIN, Due::Closing(token));
+        } else {
+            self.end(token, End::ClosedHere, cx);
+        }
+    }
+
+    /// Whether calls stand whose set-ups went on a connection.
+    fn carries_calls(&self, token: Token, cx: &Context) -> bool {
+        self.attempts.iter().any(|(attempt, sent)| sent.link == token && cx.engine.stands(*attempt))
+    }
+
+    /// Whether another connection to the same process is there.
+    fn has_other(&self, token: Token, exchange: ExchangeId, i: Incarnation, cx: &Context) -> bool {
+        let is_other = |(other, l): (Token, &Link)| {
+            other != token
+                && l.exchange == exchange
+                && l.incarnation.is_some_and(|o| cx.engine.is_same(exchange, o, i))
+        };
+        self.links.iter().any(is_other)
+    }
+
+    /// Ends the connections to a process that is gone.
+    fn abandon(&mut self, exchange: ExchangeId, incarnation: Incarnation, cx: &mut Context) {
+        let of_it = |l: &Link| l.exchange == exchange && l.abandons(incarnation, cx);
+        let gone: Vec<_> = self.links.iter().filter(|(_, l)| of_it(l)).map(|(t, _)| t).collect();
+        gone.into_iter().for_each(|token| self.end(token, End::Silent, cx));
+        self.refill(exchange, cx);
+    }
+
+    /// A connection has ended: what that shows of the process at its other end.
+    pub(super) fn observe_end(&mut self, link: &Link, was_listed: bool, end: End, cx: &mut Context) {
+        let (now, exchange) = (cx.now, link.exchange);
+        let Some(incarnation) = link.incarnation else {
+            // What this side ended, or had no socket for, says nothing of the exchange; one that was reset while new
+            // says that somebody is there.
+            if was_listed && matches!(end, End::Refused | End::DialTimedOut) {
+                cx.engine.adverse(now, exchange, Adverse::DialFailed);
+            }
+            return;
+        };
+        match end {
+            End::Closed => cx.engine.closed(now, exchange, incarnation, link.closing.is_some()),
+            End::Silent => cx.engine.adverse(now, exchange, Adverse::MissedReports(incarnation)),
+            End::Broken if link.closing.is_none() => self.observe_reset(exchange, incarnation, cx),
+            _ => {}
+        }
+    }
+
+    /// A process that dies resets all its connections at once. One alone may be reset on the way.
+    fn observe_reset(&mut self, exchange: ExchangeId, incarnation: Incarnation, cx: &mut Context) {
+        let is_left = self.links.iter().any(|(_, l)| {
+            l.exchange == exchange
+                && l.closing.is_none()
+                && l.incarnation.is_some_and(|o| cx.engine.is_same(exchange, o, incarnation))
+        });
+        let Some(peer) = self.peers.get_mut(&exchange) else {
+            return;
+        };
+        peer.resets += 1;
+        let is_all = !is_left && peer.resets > 1;
+        let observation = if is_all { Adverse::AllReset(incarnation) } else { Adverse::Reset };
+        cx.engine.adverse(cx.now, exchange, observation);
+    }
+
+    /// Bytes have arrived on a connection: the process at its other end lives.
+    pub(super) fn observe_bytes(&mut self, token: Token, cx: &mut Context) {
+        let Some(link) = self.links.get_mut(token) else {
+            return;
+        };
+        link.last_heard = cx.now;
+        let (exchange, incarnation) = (link.exchange, link.incarnation);
+        if let Some(incarnation) = incarnation {
+            cx.engine.heard(cx.now, exchange, incarnation);
+        }
+        if let Some(peer) = self.peers.get_mut(&exchange) {
+            peer.resets = 0;
+        }
+    }
+
+    /// The first message on a connection: whether the exchange speaks first on each.
+    pub(super) fn observe_first(&mut self, token: Token, verb: &str, cx: &mut Context) {
+        let Some(link) = self.links.get_mut(token).filter(|l| !l.heard) else {
+            return;
+        };
+        link.heard = true;
+        let exchange = link.exchange;
+        if verb == "LOAD" && cx.now < link.up_since + GREETS_WITHIN {
+            cx.engine.greeted(exchange);
+        }
+        if let Some(peer) = self.peers.get_mut(&exchange) {
+            peer.failures = 0;
+        }
+    }
+
+    /// A set-up was given up. Nothing heard since it was sent: the machine may have vanished, and its connections would
+    /// stay open and silent. They are closed, and the next set-up goes on a new one.
+    pub(super) fn observe_unanswered(&mut self, sent: &Sent, cx: &mut Context) {
+        let unheard = |l: &Link, at: Duration| l.last_heard < at && cx.now >= at + SILENT;
+        let is_unheard = |t: Token, at| self.links.get(t).is_some_and(|l| unheard(l, at));
+        if !is_unheard(sent.link, sent.at) {
+            return;
+        }
+        let exchange = sent.exchange;
+        let waiting = self.attempts.values().filter(|s| s.exchange == exchange);
+        let waiting = waiting.filter(|s| is_unheard(s.link, s.at)).count();
+        let links = self.peers.get(&exchange).map_or(Vec::new(), |p| p.links.clone());
+        let silent: Vec<_> = links.into_iter().filter(|t| is_unheard(*t, sent.at)).collect();
+        let name = cx.engine.name(exchange);
+        let text = format_args!("exchange={name} call={} closes={}", sent.offer.id, silent.len());
+        cx.log.line(cx.now, "exchange-silent", text);
+        let incarnation = self.links.get(sent.link).and_then(|l| l.incarnation).unwrap_or_default();
+        let observation = Adverse::Unanswered(waiting as u32 + 1, incarnation);
+        cx.engine.adverse(cx.now, exchange, observation);
+        silent.into_iter().for_each(|token| self.retire(token, cx));
+        self.refill(exchange, cx);
+    }
+
+    /// A message that concerns a call that stands proves the process at which it stands, on whatever connection it comes.
+    pub(super) fn observe_call(&self, attempt: crate::engine::AttemptToken, cx: &mut Context) {
+        let exchange = self.attempts.get(&attempt).map(|s| s.exchange);
+        if let Some((exchange, incarnation)) = exchange.zip(cx.engine.incarnation(attempt)) {
+            cx.engine.heard(cx.now, exchange, incarnation);
+        }
+    }
+}
+
+impl Link {
+    fn abandons(&self, incarnation: Incarnation, cx: &Context) -> bool {
+        self.incarnation.is_some_and(|i| cx.engine.is_same(self.exchange, i, incarnation))
+    }
+}
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -101,6 +101,8 @@
     Client(Token),
     /// A message of an exchange should have got whole.
     Part(Token),
+    /// An exchange should have closed a connection that is closed on it.
+    Closing(Token),
     /// An exchange is to be dialled again.
     Redial(ExchangeId),
     /// The journal service is to be dialled again.
@@ -314,6 +316,7 @@
                 Due::Accept => clients.accept_due(&mut cx),
                 Due::Client(token) => clients.due(token, &mut cx),
                 Due::Part(token) => exchanges.part_due(token, &mut cx),
+                Due::Closing(token) => exchanges.closing_due(token, &mut cx),
                 Due::Dial(token) => exchanges.dial_due(token, &mut cx),
                 Due::Redial(exchange) => exchanges.redial_due(exchange, &mut cx),
                 Due::JournalAgain(turn) => journal.again_due(turn, &mut cx),
@@ -330,6 +333,9 @@
             sip.iter_mut().for_each(|s| s.end_dialogs(&mut cx));
         }
         loop {
+            while let Some(upkeep) = cx.engine.next_upkeep() {
+                exchanges.upkeep(upkeep, &mut cx);
+            }
             while let Some(command) = cx.engine.next_command() {
                 let number = match &command {
                     Command::SetUp { exchange, .. } => cx.engine.number(*exchange),
--- a/node/src/net/sip/incoming.rs
+++ b/node/src/net/sip/incoming.rs
@@ -219,7 +219,7 @@
                     self.say_bye(leg, cx);
                     return cx.engine.attempt_ended(cx.now, attempt, End::Garbage, cx.deadlines);
                 };
-                if !cx.engine.answered(cx.now, attempt, description, cx.deadlines) {
+                if !cx.engine.answered(cx.now, attempt, None, description, cx.deadlines) {
                     self.say_bye(leg, cx);
                 }
             }
--- a/node/src/notices.rs
+++ b/node/src/notices.rs
@@ -1,6 +1,7 @@
 //! What the engine has to say for the log: transitions and ends, each with its ids and its reason.
 
 use crate::end::End;
+use crate::liveness::Adverse;
 use slateshed::Phase;
 use std::fmt;
 use std::time::Duration;
@@ -48,6 +49,31 @@
         /// How the one before ended.
         after: Option<End>,
     },
+    /// Something speaks against the life of an exchange at which calls stand.
+    Doubted {
+        /// The exchange.
+        exchange: String,
+        /// What was observed.
+        observation: Adverse,
+        /// For how long there had been no sign of life.
+        silent: Duration,
+    },
+    /// A connection came up that may lead to another process than the ones before.
+    Followed {
+        /// The exchange.
+        exchange: String,
+        /// It is assumed to be the same process until something speaks against it.
+        is_assumed_same: bool,
+    },
+    /// A process has given no sign of life for too long: its calls are released.
+    Lost {
+        /// The exchange.
+        exchange: String,
+        /// How many calls stood there.
+        calls: usize,
+        /// For how long there had been no sign of life.
+        silent: Duration,
+    },
     /// The list has changed what an exchange is doing.
     Listed {
         /// The exchange.
@@ -69,6 +95,9 @@
             Notice::Refused { .. } => "call-refused",
             Notice::Failed { .. } => "call-failed",
             Notice::Retried { .. } => "call-retried",
+            Notice::Doubted { .. } => "exchange-doubted",
+            Notice::Followed { .. } => "exchange-followed",
+            Notice::Lost { .. } => "exchange-lost",
             Notice::Listed { .. } => "exchange-listed",
         }
     }
@@ -111,6 +140,15 @@
             Notice::Retried { call, exchange, attempt, after } => {
                 write!(f, "call={call} exchange={exchange} attempt={attempt} after=\"{}\"", Last(after))
             }
+            Notice::Doubted { exchange, observation, silent } => {
+                write!(f, "exchange={exchange} by={observation:?} silent_ms={}", silent.as_millis())
+            }
+            Notice::Followed { exchange, is_assumed_same } => {
+                write!(f, "exchange={exchange} assumed_same={is_assumed_same}")
+            }
+            Notice::Lost { exchange, calls, silent } => {
+                write!(f, "exchange={exchange} calls={calls} silent_ms={}", silent.as_millis())
+            }
             Notice::Listed { exchange, from, to, restarted } => {
                 write!(f, "exchange={exchange} from={from:?} to={to:?} restarted={restarted}")
             }
--- a/node/tests/liveness.rs
+++ b/node/tests/liveness.rs
@@ -104,11 +104,26 @@
     vanishes(1, true, None);
 }
 
+#[test]
+fn vanished_with_thirteen_calls_and_nothing_offered() {
+    vanishes(13, true, None);
+}
+
+#[test]
+fn vanished_with_one_connection_and_nothing_offered() {
+    vanishes(1, false, None);
+}
+
 #[test]
 fn vanished_with_set_ups_offered_often() {
     vanishes(13, true, Some(MS(200)));
 }
 
+#[test]
+fn vanished_with_set_ups_offered_seldom() {
+    vanishes(1, true, Some(MS(3500)));
+}
+
 /// A machine that vanishes, and a new process at its address some time later.
 fn replaced(after: u64, is_wide: bool, interval: Option<Duration>) {
     let mut world = World::new(Manners::PROTOCOL, is_wide);
@@ -124,11 +139,43 @@
     assert!(world.caller.stands(&next, PATIENCE), "the new process is reached");
 }
 
+#[test]
+fn replaced_after_three_seconds_with_set_ups_offered() {
+    replaced(3000, true, Some(MS(200)));
+}
+
+#[test]
+fn replaced_after_six_seconds_with_set_ups_offered() {
+    replaced(6000, true, Some(MS(200)));
+}
+
 #[test]
 fn replaced_after_five_seconds_with_nothing_offered() {
     replaced(5000, true, None);
 }
 
+#[test]
+fn replaced_after_five_seconds_on_one_connection() {
+    replaced(5000, false, None);
+}
+
+#[test]
+fn replaced_after_one_second_with_set_ups_offered() {
+    replaced(1000, true, Some(MS(200)));
+}
+
+/// The process dies and another listens at once: nobody sees a refused connection between the two.
+#[test]
+fn crashed_and_back_at_once() {
+    let mut world = World::new(Manners::PROTOCOL, true);
+    let tags = world.stand(3);
+    world.exchange.crash();
+    world.exchange.restart();
+    let over = Instant::now();
+    world.offer(TOLD_WITHIN, None);
+    world.expect_told(&tags, over);
+}
+
 /// A process that stands still for longer than the rule allows: what ends there meanwhile can't be told of.
 #[test]
 fn hung_for_good() {
