Refuse set-ups on a connection that a drain keeps for the ends of its calls alone

Such a connection stayed, but took further set-ups until 1.8 s after LEAVE, so calls could keep it for good.

The rule of who stays stands in one function now, for the closing and for the refusing.

--- a/node/src/net/clients.rs
+++ b/node/src/net/clients.rs
@@ -374,7 +374,7 @@
     }
 
     fn start(&mut self, token: Token, message: Message, cx: &mut Context) -> Result<(), End> {
-        let Some(client) = self.conns.get_mut(token) else {
+        let Some(client) = self.conns.get(token) else {
             return Ok(());
         };
         // Without an id of its own a set-up can't be answered; forwarded, it would cost the connection to the
@@ -398,7 +398,11 @@
                 return Ok(());
             }
         };
-        let drained = matches!(cx.duty.clients(cx.now), duty::Clients::Refuse(_));
+        let drained = match cx.duty.clients(cx.now) {
+            duty::Clients::Stay => false,
+            duty::Clients::Close(old) => self.stays_for_calls(token, old),
+            duty::Clients::Refuse(_) => true,
+        };
         if drained || self.owed >= self.limits.calls() {
             if !drained {
                 cx.log.line(cx.now, "too-many-calls", format_args!("{} owed", self.owed));
@@ -409,7 +413,9 @@
             let opts: Vec<_> = wait.iter().map(|w| ("wait", w.as_str())).collect();
             self.answer(token, &line("FINISH", &tag, &opts, Some(REFUSED), None));
         } else {
-            client.open += 1;
+            if let Some(client) = self.conns.get_mut(token) {
+                client.open += 1;
+            }
             self.owed += 1;
             let call = cx.engine.call(cx.now, new, cx.deadlines);
             self.by_tag.insert(tag.clone(), call);
@@ -545,15 +551,22 @@
     /// Closes the connections that have had their answers, on which no release is on its way, and that the end of a
     /// call need not be told on. One that has not spoken yet is left its time to do so.
     fn close_idle(&mut self, old: Duration, cx: &mut Context) {
-        let kept = self.conns.iter().any(|(_, c)| c.since < old && c.standing > 0);
-        let needed = |c: &Client| c.standing > 0 && !old.is_zero() && (c.since < old || !kept);
-        let settled = |c: &Client| c.answered && c.open == 0 && !needed(c) && !c.is_releasing(cx.now);
+        let settled = |c: &Client| c.answered && c.open == 0 && !c.is_releasing(cx.now);
         let idle = |c: &Client| settled(c) && c.conn.is_flushed() && !c.conn.has_part();
         let idle = self.conns.iter().filter(|(token, c)| idle(c) && !self.unread.contains(token));
+        let idle = idle.filter(|(token, _)| !self.stays_for_calls(*token, old));
         let idle: Vec<_> = idle.map(|(token, _)| token).collect();
         idle.into_iter().for_each(|token| self.end(token, End::ClosedHere, cx));
     }
 
+    /// Whether a connection would be closed in a drain but for the ends of its calls, which are to be told there. One that
+    /// came after the clients could notice stays only while none from before is there for that.
+    fn stays_for_calls(&self, token: Token, old: Duration) -> bool {
+        let kept = || self.conns.iter().any(|(_, c)| c.since < old && c.standing > 0);
+        let client = self.conns.get(token).filter(|c| c.standing > 0 && !old.is_zero());
+        client.is_some_and(|c| c.since < old || !kept())
+    }
+
     /// Closing a connection gives up the set-ups that are open on it; what stands belongs to none.
     fn end(&mut self, token: Token, end: End, cx: &mut Context) {
         let Some(mut client) = self.conns.remove(token) else {
--- a/node/tests/operations.rs
+++ b/node/tests/operations.rs
@@ -82,6 +82,9 @@
     let mut late = node.client();
     stand(&mut exchange, &mut late, "00000000000000bb");
     assert_eq!(late.hear(), "", "closed once answered");
+    // A connection that stays for the ends of its calls takes no more of them.
+    caller.start("00000000000000cd", 3000, 1);
+    assert!(caller.hear().contains(r#""rc":42"#), "kept for its calls alone");
     std::thread::sleep(Duration::from_millis(1400));
     caller.start("00000000000000cc", 3000, 1);
     insta::assert_snapshot!(caller.hear(), @r#"{"verb":"FINISH","tag":"00000000000000cc","opts":{},"rc":42}"#);
