Tell callers of doubted calls of their end before a planned stop is over

Cause: a call is lost 7.2 s after the last sign of life of its exchange, but a process asked to stop ends 3.4 s after SIGTERM at the latest. Where an exchange had vanished or hung before that, its callers were never told.

Change: when the process lets standing calls go, calls at processes against whose life something speaks are released towards their callers first. Others go on as before.

Measured: two new stories, an exchange that vanishes or hangs 3 s before SIGTERM; each caller is told before the time of the kill (2 of 2).

--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -329,6 +329,9 @@
                 Due::Operator(token) => operators.iter_mut().for_each(|o| o.due(token, &mut cx)),
             }
         }
+        if cx.duty.lets_go(now) {
+            cx.engine.release_doubted(now, cx.deadlines);
+        }
         if cx.duty.ends_dialogs(now) && cx.engine.owed() == 0 {
             sip.iter_mut().for_each(|s| s.end_dialogs(&mut cx));
         }
--- a/node/tests/liveness.rs
+++ b/node/tests/liveness.rs
@@ -16,7 +16,7 @@
 
 /// The program with one exchange that can fail, and no journal service.
 struct World {
-    _node: Node,
+    node: Node,
     exchange: FaultyExchange,
     caller: Caller,
     next_tag: u64,
@@ -33,7 +33,7 @@
         let mut node = Node::start(&operated(&config), None);
         let listens = node.logged("n0 started: listening on ").parse().expect("an address");
         let caller = Caller::connect(listens).expect("the program listens");
-        World { _node: node, exchange, caller, next_tag: 0xa000 }
+        World { node, exchange, caller, next_tag: 0xa000 }
     }
 
     fn tag(&mut self) -> String {
@@ -263,3 +263,33 @@
     }
     world.expect_kept(&tags);
 }
+
+/// A planned stop while an exchange is silent: the process ends before its calls would be lost, and nobody is left to tell
+/// their callers later.
+fn stopped(hung: bool) {
+    let mut world = World::new(Manners::PROTOCOL, true);
+    let tags = world.stand(3);
+    if hung {
+        world.exchange.hang();
+    } else {
+        world.exchange.vanish();
+    }
+    world.offer(MS(3000), None);
+    world.node.terminate();
+    // Killed after the longest deadline, three seconds of it, and 0.7 s.
+    let killed = Instant::now() + MS(3700);
+    assert!(world.node.ended_well() && Instant::now() < killed);
+    for tag in &tags {
+        assert!(world.caller.told_over(tag).is_some_and(|at| at < killed), "{tag} was not told");
+    }
+}
+
+#[test]
+fn stopped_while_vanished() {
+    stopped(false);
+}
+
+#[test]
+fn stopped_while_hung() {
+    stopped(true);
+}
