Ask silent SIP exchanges within their dialogs where probes are allowed

Change: responses of an exchange count as signs of life. Where calls stand and it is silent, an OPTIONS goes within the dialog that was not asked about for longest, if allowed.probing says so. 481 ends that call and asks about the next; no response for 7.2 s ends them all.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -177,6 +177,8 @@
     pub zones: Vec<String>,
     /// The report fields for free circuits and group size.
     pub report: [String; 2],
+    /// Whether exchanges may be asked whether they live.
+    pub may_probe: bool,
 }
 
 impl Config {
@@ -243,6 +245,7 @@
             deadlines: module.classes.iter().map(|c| c.deadline).collect(),
             zones: names("zones", "")?,
             report: read::report_fields(settings).map_err(prefixed)?,
+            may_probe: may_probe(settings)?,
         };
         let dial_timeout = match read::at(settings, "allowed.dial_timeout_ms") {
             Some(_) => read::time(settings, "allowed.dial_timeout_ms").map_err(prefixed)?,
@@ -364,6 +367,15 @@
     text.parse().map_err(|_| format!("{path}: {text} is no address"))
 }
 
+/// Whether exchanges may be asked; not where the settings don't say.
+fn may_probe(settings: &JsonValue) -> Result<bool, String> {
+    match read::at(settings, "allowed.probing") {
+        Some(JsonValue::Boolean(allowed)) => Ok(*allowed),
+        Some(_) => Err("settings.allowed.probing is no truth value".into()),
+        None => Ok(false),
+    }
+}
+
 /// Reads one event of the journal service.
 pub fn news(event: &JsonValue, zones: &[String]) -> Result<News, String> {
     let position = read::number(event, "pos")? as u64;
--- a/node/src/engine/upkeep.rs
+++ b/node/src/engine/upkeep.rs
@@ -18,6 +18,15 @@
     Abandon(ExchangeId, Incarnation),
 }
 
+impl Upkeep {
+    /// The exchange that it is about.
+    pub fn exchange(self) -> ExchangeId {
+        match self {
+            Upkeep::Check(exchange, _) | Upkeep::Abandon(exchange, _) => exchange,
+        }
+    }
+}
+
 impl Engine {
     /// What is wanted of the connections to exchanges next.
     pub fn next_upkeep(&mut self) -> Option<Upkeep> {
@@ -53,6 +62,20 @@
         }
     }
 
+    /// The exchange of an attempt has been heard, on a front that does not tell processes apart.
+    pub fn heard_at(&mut self, now: Duration, attempt: AttemptToken) {
+        let exchange = self.exchange_of(attempt);
+        if let Some(e) = exchange.and_then(|e| self.exchanges.get_mut(&e)) {
+            let newest = e.liveness.newest(now);
+            e.liveness.heard(now, newest);
+        }
+    }
+
+    /// Where an attempt went.
+    pub fn exchange_of(&self, attempt: AttemptToken) -> Option<ExchangeId> {
+        self.attempts.get(attempt.0).map(|a| a.exchange)
+    }
+
     /// The exchange has closed a connection in good order; `asked`: it had been closed on it before.
     pub fn closed(
         &mut self,
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -337,7 +337,11 @@
         }
         loop {
             while let Some(upkeep) = cx.engine.next_upkeep() {
-                exchanges.upkeep(upkeep, &mut cx);
+                let number = cx.engine.number(upkeep.exchange());
+                match sip.as_mut().filter(|s| number.is_some_and(|n| s.serves(n))) {
+                    Some(sip) => sip.upkeep(upkeep, &mut cx),
+                    None => exchanges.upkeep(upkeep, &mut cx),
+                }
             }
             while let Some(command) = cx.engine.next_command() {
                 let number = match &command {
--- a/node/src/net/sip/commands.rs
+++ b/node/src/net/sip/commands.rs
@@ -118,6 +118,7 @@
             again: Rc::from([]),
             interval: self.config.times.t1,
             since: cx.now,
+            checked: cx.now,
             bye_waits: false,
         });
         self.by_attempt.insert(attempt, leg);
--- a/node/src/net/sip/incoming.rs
+++ b/node/src/net/sip/incoming.rs
@@ -133,6 +133,7 @@
             again: Rc::from([]),
             interval: self.config.times.t1,
             since: cx.now,
+            checked: cx.now,
             bye_waits: false,
         });
         self.by_call.insert(call, leg);
@@ -196,7 +197,13 @@
         let Taken::Response(tx) = self.transactions.response(cx.now, &m, &mut self.output) else {
             return;
         };
-        let (Some(leg), Some(status)) = (self.by_invite.get(&tx).copied(), m.status()) else {
+        let Some(status) = m.status() else {
+            return;
+        };
+        if self.options_answered(tx, status, cx) {
+            return;
+        }
+        let Some(leg) = self.by_invite.get(&tx).copied() else {
             return;
         };
         let Some(l) = self.legs.get(leg) else {
@@ -205,6 +212,7 @@
         let Party::Exchange(attempt) = l.party else {
             return;
         };
+        cx.engine.heard_at(cx.now, attempt);
         match (status, l.state) {
             (100..=199, State::Over) => self.send_cancel(leg, cx.now),
             (100..=199, _) => {}
--- a/node/src/net/sip/mod.rs
+++ b/node/src/net/sip/mod.rs
@@ -1,6 +1,7 @@
 //! The SIP front: calls come in as INVITEs and go out as INVITEs, with the same engine between as on the
 //! platform's wire. Each call has a leg towards its caller, one towards its exchange, or both.
 
+mod checks;
 mod commands;
 pub mod dialog;
 mod incoming;
@@ -74,6 +75,8 @@
     again: Rc<[u8]>,
     interval: Duration,
     since: Duration,
+    /// Exchange's leg: when it was last asked within the dialog whether that is still known.
+    checked: Duration,
     /// Caller's leg: the release came before the ACK, and waits for it.
     bye_waits: bool,
 }
@@ -92,6 +95,8 @@
     by_dialog: HashMap<(String, String), Token>,
     /// The leg of an INVITE's transaction.
     by_invite: HashMap<Token, Token>,
+    /// The leg of the transaction of an OPTIONS within its dialog.
+    by_options: HashMap<Token, Token>,
     output: Vec<Output>,
     /// More datagrams have come than one turn allows.
     more_datagrams: bool,
@@ -117,6 +122,7 @@
             by_attempt: HashMap::new(),
             by_dialog: HashMap::new(),
             by_invite: HashMap::new(),
+            by_options: HashMap::new(),
             output: Vec::new(),
             more_datagrams: false,
             random: seed,
@@ -329,6 +335,7 @@
     /// A transaction ended without its response.
     fn failed(&mut self, token: Token, end: End, cx: &mut Context) {
         self.transactions.terminate(token);
+        self.by_options.remove(&token);
         let Some(leg) = self.by_invite.get(&token).copied() else {
             return;
         };
--- a/node/tests/sip.rs
+++ b/node/tests/sip.rs
@@ -24,6 +24,15 @@
 impl World {
     /// The program with one exchange, reached over SIP, and numbers from 21 on there.
     fn new(exchange: &str) -> World {
+        Self::configured(exchange, |config| config)
+    }
+
+    /// The same where exchanges may be asked whether they live.
+    fn probing(exchange: &str) -> World {
+        Self::configured(exchange, |c| c.replace(r#""allowed":{"#, r#""allowed":{"probing":true,"#))
+    }
+
+    fn configured(exchange: &str, adapt: impl Fn(String) -> String) -> World {
         let anywhere = "127.0.0.1:9".parse().expect("an address");
         let (place, addr) = match exchange {
             "udp" => {
@@ -45,7 +54,7 @@
              [[sip.number]]\nprefix = \"21\"\nexchange = 1\nclass = \"voice\"\n\
              [[sip.number]]\nprefix = \"3\"\nexchange = 2\nclass = \"voice\"\n"
         );
-        let node = Node::start(&operated(&config(journal.addr, &servers)), Some(&operator));
+        let node = Node::start(&adapt(operated(&config(journal.addr, &servers))), Some(&operator));
         let journal = journal.accept();
         World { node, place, journal, addr }
     }
@@ -433,3 +442,55 @@
     caller.say(&request("BYE", &caller, 1, &tag, "", ""));
     proxies[0].hear(&format!("BYE sip:{addr} "));
 }
+
+/// Guards against dialogs that stand for good at an exchange that has vanished: one that answers OPTIONS within the dialog
+/// keeps its call, and one that no longer answers has lost it.
+fn asked_while_it_answers(transport: &str) {
+    let mut world = World::probing(transport);
+    let mut caller = world.caller("udp");
+    world.stand(&mut caller, 1);
+    let (addr, begun) = (world.addr, Instant::now());
+    while begun.elapsed() < Duration::from_secs(4) {
+        let options = world.exchange().hear("OPTIONS");
+        world.exchange().say(&response(&options, "200 OK", addr, ""));
+    }
+    let silent = Instant::now();
+    assert_eq!(caller.new_within(Duration::from_millis(100)), None, "it answers");
+    caller.hear("BYE sip:drill@");
+    assert!(silent.elapsed() < Duration::from_secs(8), "told after {:?}", silent.elapsed());
+}
+
+#[test]
+fn an_exchange_that_may_be_asked_keeps_its_call_while_it_answers_over_udp() {
+    asked_while_it_answers("udp");
+}
+
+#[test]
+fn an_exchange_that_may_be_asked_keeps_its_call_while_it_answers_over_tcp() {
+    asked_while_it_answers("tcp");
+}
+
+/// Guards against dialogs that stand at a process which has started anew and knows none of them.
+#[test]
+fn an_exchange_that_does_not_know_the_dialog_has_lost_its_calls() {
+    let mut world = World::probing("udp");
+    let mut caller = world.caller("udp");
+    world.stand(&mut caller, 1);
+    world.stand(&mut caller, 2);
+    let addr = world.addr;
+    for _ in 0..2 {
+        let options = world.exchange().hear("OPTIONS");
+        world.exchange().say(&response(&options, "481 Call/Transaction Does Not Exist", addr, ""));
+        caller.hear("BYE sip:drill@");
+    }
+}
+
+/// Guards against questions where the settings don't allow them, and against calls cut for want of an answer to none.
+#[test]
+fn an_exchange_that_may_not_be_asked_is_not_and_keeps_its_call() {
+    let mut world = World::new("udp");
+    let mut caller = world.caller("udp");
+    world.stand(&mut caller, 1);
+    assert_eq!(world.exchange().new_within(Duration::from_secs(9)), None);
+    assert_eq!(caller.new_within(Duration::from_millis(100)), None);
+}
