End the plug-in's requests at processes that the list says are gone

A request that was out at an exchange which the list withdrew or reported as started anew was believed to be served until its time was over; and names and circuits of exchanges that are gone were kept for good.

Change: directory.rs keeps the list's exchanges, says who has lost its work, and forgets who is gone. A request out there ends at once as reset, so that its effect is treated as unknown, and the controller decides what follows.

--- a/plugin/src/lib.rs
+++ b/plugin/src/lib.rs
@@ -5,6 +5,9 @@
 //! needed: time comes from a [`Clock`] that the host implements on whatever it runs on, and timers are
 //! driven by the requests that wait.
 
+mod directory;
+
+use directory::Directory;
 use slateshed::*;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::fmt;
@@ -101,6 +104,10 @@
 struct Mailbox {
     orders: VecDeque<Order>,
     waker: Option<Waker>,
+    /// Where its attempt is out.
+    out: Option<ExchangeId>,
+    /// The process that its attempt was out at is gone.
+    is_lost: bool,
 }
 
 /// The circuits towards an exchange.
@@ -116,10 +123,27 @@
     calls: HashMap<CallId, Mailbox>,
     next_call: u64,
     timers: BTreeMap<(Duration, TimerId), ()>,
-    names: Vec<String>,
+    directory: Directory,
 }
 
 impl Shared {
+    /// News of the list. Requests that are out at a process that is gone wait for nothing.
+    fn list(&mut self, now: Duration, whole: bool, lines: &[Listed]) {
+        let update = self.directory.update(whole, lines);
+        let entries = update.entries;
+        let list = if whole { List::Whole(entries) } else { List::Change(entries) };
+        self.tell(now, Event::List(list));
+        for mailbox in self.calls.values_mut() {
+            if mailbox.out.is_some_and(|e| update.lost.contains(&e)) {
+                mailbox.is_lost = true;
+                mailbox.waker.take().into_iter().for_each(Waker::wake);
+            }
+        }
+        let calls = &self.calls;
+        self.directory.forget_gone(|id| calls.values().any(|m| m.out == Some(id)));
+        let directory = &self.directory;
+        self.groups.retain(|id, _| directory.name(*id).is_some());
+    }
     fn tell(&mut self, now: Duration, event: Event) {
         let mut actions = Vec::new();
         self.controller.handle(now, event, &mut actions);
@@ -144,6 +168,9 @@
 
     /// Takes circuits, or gives them back where the number is negative.
     fn occupy(&mut self, now: Duration, exchange: ExchangeId, circuits: i64) {
+        if self.directory.name(exchange).is_none() {
+            return;
+        }
         let group = self.groups.entry(exchange).or_default();
         let used = i64::from(group.used) + circuits;
         group.used = u32::try_from(used.max(0)).unwrap_or(u32::MAX);
@@ -178,7 +205,7 @@
             calls: HashMap::new(),
             next_call: 0,
             timers: BTreeMap::new(),
-            names: Vec::new(),
+            directory: Directory::default(),
         };
         shared.tell(clock.now(), Event::Started);
         Ok(Handle { shared: Arc::new(Mutex::new(shared)), clock })
@@ -191,26 +218,14 @@
 
     /// News of the list: all of it, or changed lines only.
     pub fn list(&self, whole: bool, lines: &[Listed]) {
-        let mut shared = self.lock();
-        let mut entries = Vec::with_capacity(lines.len());
-        for l in lines {
-            let known = shared.names.iter().position(|n| *n == l.name);
-            let id = known.unwrap_or(shared.names.len());
-            if known.is_none() {
-                shared.names.push(l.name.clone());
-            }
-            entries.push(l.entry(ExchangeId(id as u32)));
-        }
-        let list = if whole { List::Whole(entries) } else { List::Change(entries) };
-        shared.tell(self.clock.now(), Event::List(list));
+        self.lock().list(self.clock.now(), whole, lines);
     }
 
     /// How many circuits (connections, streams) there are towards an exchange. The plug-in counts its own
     /// requests on them; where this is not said, there is always room.
     pub fn circuits(&self, exchange: &str, size: u32) {
         let mut shared = self.lock();
-        if let Some(id) = shared.names.iter().position(|n| n == exchange) {
-            let exchange = ExchangeId(id as u32);
+        if let Some(exchange) = shared.directory.id(exchange) {
             shared.groups.entry(exchange).or_default().size = Some(size);
             shared.occupy(self.clock.now(), exchange, 0);
         }
@@ -280,6 +295,31 @@
         }
     }
 
+    /// Done once the process that the attempt is out at is gone.
+    async fn lost(&self) {
+        poll_fn(|cx| match self.handle.lock().calls.get_mut(&self.call) {
+            Some(mailbox) if !mailbox.is_lost => {
+                mailbox.waker = Some(cx.waker().clone());
+                Poll::Pending
+            }
+            _ => Poll::Ready(()),
+        })
+        .await;
+    }
+
+    /// An attempt goes out; the name of where it goes, unless the list has it no longer.
+    fn set_out(&mut self, now: Duration, exchange: ExchangeId) -> Option<String> {
+        let mut shared = self.handle.lock();
+        let name = shared.directory.name(exchange).map(str::to_owned);
+        if let Some(mailbox) = shared.calls.get_mut(&self.call) {
+            (mailbox.out, mailbox.is_lost) = (Some(exchange), false);
+        }
+        shared.occupy(now, exchange, self.circuits);
+        self.attempts += 1;
+        self.out = Some((exchange, now));
+        name
+    }
+
     /// The attempt that is out has ended.
     fn over(&mut self, outcome: Outcome, settled: bool) {
         let now = self.handle.clock.now();
@@ -287,6 +327,9 @@
             let (call, attempt) = (self.call, self.attempts - 1);
             let delay = now.saturating_sub(sent);
             let mut shared = self.handle.lock();
+            if let Some(mailbox) = shared.calls.get_mut(&call) {
+                mailbox.out = None;
+            }
             shared.occupy(now, exchange, -self.circuits);
             if outcome == Outcome::Ended {
                 shared.tell(now, Event::Stands { call, attempt, delay });
@@ -394,40 +437,55 @@
             }
         };
         let now = ticket.handle.clock.now();
-        let name = {
-            let mut shared = ticket.handle.lock();
-            shared.occupy(now, exchange, ticket.circuits);
-            shared.names[exchange.0 as usize].clone()
+        let Some(name) = ticket.set_out(now, exchange) else {
+            ticket.over(Outcome::NotSent, false);
+            continue;
         };
         let routed = Routed { request: request.clone(), exchange: name };
-        ticket.attempts += 1;
-        ticket.out = Some((exchange, now));
         let mut service = inner.clone();
         let attempt = async {
             poll_fn(|cx| service.poll_ready(cx)).await?;
             service.call(routed).await
         };
-        match within(attempt, ticket.handle.clock.sleep(timeout)).await {
-            Some(Ok(response)) => {
+        match attempted(attempt, ticket.handle.clock.sleep(timeout), ticket.lost()).await {
+            Attempted::Done(Ok(response)) => {
                 ticket.over(Outcome::Ended, true);
                 return Ok(response);
             }
-            Some(Err(error)) => {
+            Attempted::Done(Err(error)) => {
                 let outcome = policy.outcome(&error);
                 last = Some(error);
                 ticket.over(outcome, false);
             }
-            None => ticket.over(Outcome::TimedOut, false),
+            Attempted::TimedOut => ticket.over(Outcome::TimedOut, false),
+            Attempted::Lost => ticket.over(Outcome::Reset, false),
         }
     }
 }
 
-/// The result of a future, unless the time is over first; the future is dropped then.
-async fn within<T>(future: impl Future<Output = T>, sleep: impl Future<Output = ()>) -> Option<T> {
-    let (mut future, mut sleep) = (pin!(future), pin!(sleep));
-    poll_fn(|cx| match future.as_mut().poll(cx) {
-        Poll::Ready(result) => Poll::Ready(Some(result)),
-        Poll::Pending => sleep.as_mut().poll(cx).map(|()| None),
+/// What an attempt has come to.
+enum Attempted<T> {
+    Done(T),
+    TimedOut,
+    /// The process that it was out at is gone.
+    Lost,
+}
+
+/// The result of a future, unless its time is over first or its process is gone; the future is dropped then.
+async fn attempted<T>(
+    future: impl Future<Output = T>,
+    sleep: impl Future<Output = ()>,
+    lost: impl Future<Output = ()>,
+) -> Attempted<T> {
+    let (mut future, mut sleep, mut lost) = (pin!(future), pin!(sleep), pin!(lost));
+    poll_fn(|cx| {
+        if let Poll::Ready(result) = future.as_mut().poll(cx) {
+            return Poll::Ready(Attempted::Done(result));
+        }
+        if lost.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Attempted::Lost);
+        }
+        sleep.as_mut().poll(cx).map(|()| Attempted::TimedOut)
     })
     .await
 }
--- a/plugin/tests/stories.rs
+++ b/plugin/tests/stories.rs
@@ -88,7 +88,25 @@
     }
 }
 
+fn line(name: &str, n: u32) -> Listed {
+    Listed {
+        name: name.to_owned(),
+        number: ExchangeNumber(n),
+        zone: 0,
+        phase: Phase::InService,
+        started: Duration::ZERO,
+    }
+}
+
 fn service(script: &[Result<&'static str, Outcome>]) -> (Slateshed<Script, Threads, Numbers>, Script) {
+    let (service, inner, _) = handled(script);
+    (service, inner)
+}
+
+/// The same with the handle by which the list is told.
+fn handled(
+    script: &[Result<&'static str, Outcome>],
+) -> (Slateshed<Script, Threads, Numbers>, Script, Handle<Threads>) {
     let class = Class {
         aim: ms(400),
         deadline: ms(9000),
@@ -121,19 +139,12 @@
         retry_after: ms(2000),
     };
     let handle = Handle::new(settings, 7, Threads(Instant::now())).expect("settings make sense");
-    let line = |name: &str, n| Listed {
-        name: name.to_owned(),
-        number: ExchangeNumber(n),
-        zone: 0,
-        phase: Phase::InService,
-        started: Duration::ZERO,
-    };
     handle.list(true, &[line("own", 0), line("one", 1), line("two", 2)]);
     handle.circuits("one", 5);
     handle.circuits("two", 5);
     let inner = Script::default();
     inner.script.lock().expect("no panic").extend(script.iter().copied());
-    (SlateshedLayer::new(handle, Numbers).layer(inner.clone()), inner)
+    (SlateshedLayer::new(handle.clone(), Numbers).layer(inner.clone()), inner, handle)
 }
 
 #[test]
@@ -156,6 +167,28 @@
     assert_eq!(inner.went.lock().expect("no panic").len(), 1);
 }
 
+/// Guards against requests that wait out their time at a process that is gone, as the list says, or has started anew.
+#[test]
+fn a_request_at_a_process_that_is_gone_waits_for_nothing() {
+    for (phase, started) in [(Phase::Gone, 0), (Phase::InService, 90_000)] {
+        let (service, inner, handle) = handled(&[]);
+        let request = std::thread::spawn({
+            let mut service = service.clone();
+            move || pollster::block_on(service.call(1))
+        });
+        let begun = Instant::now();
+        while inner.went.lock().expect("no panic").is_empty() {
+            assert!(begun.elapsed() < ms(5000), "it goes out");
+            std::thread::sleep(ms(1));
+        }
+        handle.list(false, &[Listed { phase, started: ms(started), ..line("one", 1) }]);
+        let result = request.join().expect("no panic");
+        assert!(matches!(result, Err(Error::Refused(_))), "{result:?}");
+        // Its own time is 400 ms, and it may not go again within 500.
+        assert!(begun.elapsed() < ms(350), "{phase:?}: {:?}", begun.elapsed());
+    }
+}
+
 /// Guards against a dropped request that counts as out for ever, its circuit taken and its latch shut.
 #[test]
 fn a_dropped_request_is_called_off() {
