--- a/node/src/engine/upkeep.rs
+++ b/node/src/engine/upkeep.rs
@@ -121,6 +121,12 @@
         self.exchanges.get(&exchange).is_some_and(|e| e.liveness.is_followed(incarnation))
     }
 
+    /// Since when there has been no sign of life of a process.
+    pub fn silent_for(&self, now: Duration, exchange: ExchangeId, incarnation: Incarnation) -> Duration {
+        let exchange = self.exchanges.get(&exchange);
+        exchange.map_or(Duration::ZERO, |e| e.liveness.silent_for(now, incarnation))
+    }
+
     /// Whether two incarnations are the same process, as far as is known.
     pub fn is_same(&self, exchange: ExchangeId, one: Incarnation, other: Incarnation) -> bool {
         let exchange = self.exchanges.get(&exchange);
--- a/node/src/net/exchanges/mod.rs
+++ b/node/src/net/exchanges/mod.rs
@@ -525,12 +525,11 @@
     }
 
     /// One connection has brought the state of the group. Another to the same exchange that has brought none
-    /// for several of these is open and silent: what is on it would wait in vain.
+    /// for several of these is open and silent: what is on it would wait in vain, and where it is the older one, it may
+    /// lead to another process.
     fn reported(&mut self, token: Token, exchange: ExchangeId, cx: &mut Context) {
         let held = self.links.iter().filter(|(_, l)| l.exchange == exchange).count();
-        if held > REPORTED_ON {
-            return;
-        }
+        let reporter = self.links.get(token).and_then(|l| l.incarnation);
         let most_missed = MISSED * (held as u32 - 1);
         let others = self.links.iter_mut().filter(|(_, l)| l.exchange == exchange && l.heard);
         for (other, link) in others {
@@ -538,12 +537,13 @@
             if link.missed < most_missed || cx.now < link.last_heard + MISSED_FOR {
                 continue;
             }
-            match link.incarnation.filter(|_| link.closing.is_some()) {
-                // It may still be closed in return, or bring the end of a call.
-                Some(incarnation) => {
-                    cx.engine.adverse(cx.now, exchange, Adverse::MissedReports(incarnation));
-                }
-                None => self.doomed.push((other, End::Silent)),
+            // What is being closed may still be closed in return, or bring the end of a call.
+            if held <= REPORTED_ON && link.closing.is_none() {
+                self.doomed.push((other, End::Silent));
+            }
+            // Where there are more than get reports, it is the newer ones that go without.
+            if let Some(incarnation) = link.incarnation.filter(|i| Some(*i) < reporter) {
+                cx.engine.adverse(cx.now, exchange, Adverse::MissedReports(incarnation));
             }
         }
     }
@@ -553,7 +553,7 @@
             return Ok(());
         };
         let exchange = link.exchange;
-        let by = link.incarnation;
+        let (by, is_first) = (link.incarnation, !link.heard);
         self.observe_first(token, &message.verb, cx);
         let attempt = self.by_tag.get(&(exchange, message.tag.clone())).copied();
         // What answers a set-up comes on its own connection; on another it answers one given up there.
@@ -565,7 +565,10 @@
         // The state of the group comes unasked with each change, at once. What answers and releases repeat of it
         // was true when they left the exchange, and has been overtaken by the time they are here.
         if message.verb == "LOAD" {
-            self.reported(token, exchange, cx);
+            // What comes first on a connection comes on that one alone.
+            if !is_first {
+                self.reported(token, exchange, cx);
+            }
             let load = message.opt("load");
             let count = |name: &str| figure(load, name).filter(|x| *x >= 0.0).map(|x| x as u32);
             if let Some(state) = count(&cx.words.report[0]).zip(count(&cx.words.report[1])) {
--- a/node/src/net/exchanges/upkeep.rs
+++ b/node/src/net/exchanges/upkeep.rs
@@ -13,8 +13,10 @@
 use slateshed::ExchangeId;
 use std::time::Duration;
 
-/// A set-up given up after this time, with nothing heard on its connection since, makes that suspect.
+/// A set-up given up after this time, with nothing heard on its connection since, makes that suspect. So does one after the
+/// shorter time, where nothing was heard of the process for the longer one.
 const SILENT: Duration = Duration::from_millis(750);
+const SILENT_FOR_ONE: Duration = Duration::from_millis(300);
 /// Whoever speaks first on a new connection does so within this time.
 const GREETS_WITHIN: Duration = Duration::from_millis(500);
 /// How long the peer has to close a connection that is closed on it, before that is looked at again.
@@ -206,12 +208,18 @@
     /// A set-up was given up. Nothing heard since it was sent: the machine may have vanished, and its connections would
     /// stay open and silent. They are closed, and the next set-up goes on a new one.
     pub(super) fn observe_unanswered(&mut self, sent: &Sent, cx: &mut Context) {
-        let unheard = |l: &Link, at: Duration| l.last_heard < at && cx.now >= at + SILENT;
+        let exchange = sent.exchange;
+        let Some(link) = self.links.get(sent.link) else {
+            return;
+        };
+        let incarnation = link.incarnation.unwrap_or_default();
+        let is_silent = cx.engine.silent_for(cx.now, exchange, incarnation) >= SILENT;
+        let least = if is_silent { SILENT_FOR_ONE } else { SILENT };
+        let unheard = |l: &Link, at: Duration| l.last_heard < at && cx.now >= at + least;
         let is_unheard = |t: Token, at| self.links.get(t).is_some_and(|l| unheard(l, at));
         if !is_unheard(sent.link, sent.at) {
             return;
         }
-        let exchange = sent.exchange;
         let waiting = self.attempts.values().filter(|s| s.exchange == exchange);
         let waiting = waiting.filter(|s| is_unheard(s.link, s.at)).count();
         let links = self.peers.get(&exchange).map_or(Vec::new(), |p| p.links.clone());
@@ -219,7 +227,6 @@
         let name = cx.engine.name(exchange);
         let text = format_args!("exchange={name} call={} closes={}", sent.offer.id, silent.len());
         cx.log.line(cx.now, "exchange-silent", text);
-        let incarnation = self.links.get(sent.link).and_then(|l| l.incarnation).unwrap_or_default();
         let observation = Adverse::Unanswered(waiting as u32 + 1, incarnation);
         cx.engine.adverse(cx.now, exchange, observation);
         silent.into_iter().for_each(|token| self.retire(token, cx));
