Let late news of an exchange's start end only the calls that stood before it

Cause: news that an exchange has started anew ended all calls there, also those that the new process had answered since. Where discovery comes late, these live.

Change: calls answered after the start that the list names go on. Where the exchange is withdrawn, all are over as before.

--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -534,7 +534,7 @@
             for (id, e) in &mut self.exchanges {
                 if !lines.iter().any(|l| l.name == e.name) && e.phase != Phase::Gone {
                     e.phase = Phase::Gone;
-                    lost.push(*id);
+                    lost.push((*id, Duration::MAX));
                 }
             }
         }
@@ -552,16 +552,18 @@
                 is_watched: false,
             });
             // A process that has started anew knows nothing of the calls before; one withdrawn has none.
-            if l.phase == Phase::Gone || l.started > e.started {
-                lost.push(id);
+            if l.phase == Phase::Gone {
+                lost.push((id, Duration::MAX));
+            } else if l.started > e.started {
+                lost.push((id, l.started));
             }
             (e.phase, e.started) = (l.phase, l.started);
             entries.push(l.entry(id));
         }
         let list = if whole { List::Whole(entries) } else { List::Change(entries) };
         self.pending.push_back(Event::List(list));
-        for id in lost {
-            self.lose(now, id, d);
+        for (id, until) in lost {
+            self.lose(now, id, until, d);
         }
         self.run(now, d);
     }
@@ -628,9 +630,17 @@
         }
     }
 
-    /// Whatever stands at an exchange is over.
-    fn lose<D: From<Wake>>(&mut self, now: Duration, exchange: ExchangeId, d: &mut Deadlines<D>) {
+    /// Whatever has stood at an exchange since `until` or before is over. News may be late: what its new process has
+    /// answered since it started goes on.
+    fn lose<D: From<Wake>>(
+        &mut self,
+        now: Duration,
+        exchange: ExchangeId,
+        until: Duration,
+        d: &mut Deadlines<D>,
+    ) {
         let there = self.attempts.iter().filter(|(_, a)| a.exchange == exchange && a.stands);
+        let there = there.filter(|(_, a)| a.stood <= until);
         let there: Vec<_> = there.map(|(t, _)| AttemptToken(t)).collect();
         for attempt in there {
             self.commands.push_back(Command::Forget(attempt));
--- a/node/src/engine/upkeep.rs
+++ b/node/src/engine/upkeep.rs
@@ -113,7 +113,7 @@
 
     /// An exchange refuses connections, and none is open: its process is gone, and so are its calls.
     pub fn refused<D: From<Wake>>(&mut self, now: Duration, exchange: ExchangeId, d: &mut Deadlines<D>) {
-        self.lose(now, exchange, d);
+        self.lose(now, exchange, Duration::MAX, d);
     }
 
     /// Whether newer connections than those of an incarnation may lead to another process.
--- a/node/tests/engine.rs
+++ b/node/tests/engine.rs
@@ -178,6 +178,28 @@
     }
 }
 
+/// Guards against calls cut at a process that has answered them since it started, where the list says so late.
+#[test]
+fn late_news_of_a_start_ends_only_the_calls_before_it() {
+    let mut world = World::new();
+    let before = world.call(3000);
+    let (old, _) = world.set_up();
+    assert!(world.answered(old));
+    world.pass(500);
+    let started = world.now;
+    world.pass(500);
+    world.commands();
+    world.call(3000);
+    let (new, _) = world.set_up();
+    assert!(world.answered(new));
+    world.pass(3000);
+    world.commands();
+    world.list(&[(1, Phase::InService)], false, started);
+    let released = [Command::Forget(old), Command::ReleaseCaller(before, Cause::Cut)];
+    assert_eq!(world.commands(), released);
+    assert!(world.engine.stands(new));
+}
+
 /// Guards against answers that come after the process is killed at a planned stop.
 #[test]
 fn at_a_planned_stop_every_answer_is_out_by_its_time() {
