Keep connections to a silent process for as long as its calls may be kept

Cause: a connection closed in good order was given up after 1 s where others to the same process were left, so an exchange that is slow to close in return was not seen to.

Change: while calls stand there and it is silent, such connections are read for up to 8 s. The rule no longer depends on which other connections are there.

--- a/node/src/net/exchanges/upkeep.rs
+++ b/node/src/net/exchanges/upkeep.rs
@@ -21,7 +21,7 @@
 const GREETS_WITHIN: Duration = Duration::from_millis(500);
 /// How long the peer has to close a connection that is closed on it, before that is looked at again.
 const CLOSES_WITHIN: Duration = Duration::from_secs(1);
-/// How long the last connection to a process at which calls stand is kept for that.
+/// How long one to a silent process at which calls stand is kept for that.
 const CLOSES_AT_LAST: Duration = Duration::from_secs(8);
 
 impl Exchanges {
@@ -99,15 +99,16 @@
     }
 
     /// The peer should have closed a connection by now. One that carries calls is kept until their ends are told, as a
-    /// peer that does not close it may tell them there. So is the last one to a process at which calls stand, for a
-    /// while: that it is closed or speaks may be the only sign that this process lives.
+    /// peer that does not close it may tell them there. So is one to a process at which calls stand and that is silent,
+    /// for a while: that it is closed at last may be the only sign that this process lives.
     pub fn closing_due(&mut self, token: Token, cx: &mut Context) {
         let Some((link, since)) = self.links.get(token).and_then(|l| Some((l, l.closing?))) else {
             return;
         };
         let exchange = link.exchange;
         let is_witness = link.incarnation.is_some_and(|i| {
-            cx.engine.stands_at(exchange, i) && !self.has_other(token, exchange, i, cx)
+            cx.engine.stands_at(exchange, i)
+                && cx.engine.silent_for(cx.now, exchange, i) >= CLOSES_WITHIN
         });
         let is_needed = is_witness && cx.now < since + CLOSES_AT_LAST;
         if is_needed || self.carries_calls(token, cx) {
@@ -122,16 +123,6 @@
         self.attempts.iter().any(|(attempt, sent)| sent.link == token && cx.engine.stands(*attempt))
     }
 
-    /// Whether another connection to the same process is there.
-    fn has_other(&self, token: Token, exchange: ExchangeId, i: Incarnation, cx: &Context) -> bool {
-        let is_other = |(other, l): (Token, &Link)| {
-            other != token
-                && l.exchange == exchange
-                && l.incarnation.is_some_and(|o| cx.engine.is_same(exchange, o, i))
-        };
-        self.links.iter().any(is_other)
-    }
-
     /// Ends the connections to a process that is gone.
     fn abandon(&mut self, exchange: ExchangeId, incarnation: Incarnation, cx: &mut Context) {
         let of_it = |l: &Link| l.exchange == exchange && l.abandons(incarnation, cx);
