Tell exchanges that forget or reset resting connections from ones that were replaced

Cause: a connection that was not closed in return, that missed reports or on which a set-up had no answer spoke against the process, whatever the connection had been doing. Likewise all connections that were reset at once for resting counted as a death.

Change: such observations count only for connections on which something was heard within 3 s before. A check whose connection rested longer, or is only assumed to lead to the process, is not conclusive. A check falls back to the connections that are assumed to lead to the process, where none is left that is known to: calls there were never checked again before.

--- a/node/src/engine/upkeep.rs
+++ b/node/src/engine/upkeep.rs
@@ -34,9 +34,10 @@
     }
 
     /// A check that was wanted has begun.
-    pub fn began_check(&mut self, now: Duration, exchange: ExchangeId) {
+    /// `is_conclusive`: what it goes by had been in use.
+    pub fn began_check(&mut self, now: Duration, exchange: ExchangeId, is_conclusive: bool) {
         if let Some(e) = self.exchanges.get_mut(&exchange) {
-            e.liveness.began_check(now);
+            e.liveness.began_check(now, is_conclusive);
             self.checks += 1;
         }
     }
--- a/node/src/net/exchanges/mod.rs
+++ b/node/src/net/exchanges/mod.rs
@@ -58,6 +58,8 @@
     renews: Option<Incarnation>,
     /// Connections that were reset in a row, with nothing heard between.
     resets: u32,
+    /// One of them was in use.
+    resets_in_use: bool,
     /// Releases of calls that stand, with no connection to go on yet.
     unsent: Vec<(Duration, Vec<u8>)>,
 }
@@ -77,6 +79,8 @@
     heard: bool,
     /// States of the group heard on others since the last on this.
     missed: u32,
+    /// When the first of these came.
+    missed_since: Duration,
     /// Since when a message has begun and is not whole.
     part_since: Option<Duration>,
     /// Ids of set-ups given up here of late: an answer that comes late is none to the next attempt.
@@ -152,6 +156,7 @@
             waiting: false,
             renews: None,
             resets: 0,
+            resets_in_use: false,
             unsent: Vec::new(),
         });
         peer.phase = phase;
@@ -283,6 +288,7 @@
                 closing: None,
                 heard: false,
                 missed: 0,
+                missed_since: now,
                 part_since: None,
                 given_up: VecDeque::new(),
                 unwritten: VecDeque::new(),
@@ -533,6 +539,9 @@
         let most_missed = MISSED * (held as u32 - 1);
         let others = self.links.iter_mut().filter(|(_, l)| l.exchange == exchange && l.heard);
         for (other, link) in others {
+            if link.missed == 0 {
+                link.missed_since = cx.now;
+            }
             link.missed = if other == token { 0 } else { link.missed + 1 };
             if link.missed < most_missed || cx.now < link.last_heard + MISSED_FOR {
                 continue;
@@ -542,7 +551,8 @@
                 self.doomed.push((other, End::Silent));
             }
             // Where there are more than get reports, it is the newer ones that go without.
-            if let Some(incarnation) = link.incarnation.filter(|i| Some(*i) < reporter) {
+            let older = link.incarnation.filter(|i| Some(*i) < reporter);
+            if let Some(incarnation) = older.filter(|_| link.was_in_use(link.missed_since)) {
                 cx.engine.adverse(cx.now, exchange, Adverse::MissedReports(incarnation));
             }
         }
--- a/node/src/net/exchanges/upkeep.rs
+++ b/node/src/net/exchanges/upkeep.rs
@@ -19,6 +19,8 @@
 const SILENT_FOR_ONE: Duration = Duration::from_millis(300);
 /// Whoever speaks first on a new connection does so within this time.
 const GREETS_WITHIN: Duration = Duration::from_millis(500);
+/// No exchange closes, resets or forgets a connection that has rested for less than this.
+const IN_USE: Duration = Duration::from_secs(3);
 /// How long the peer has to close a connection that is closed on it, before that is looked at again.
 const CLOSES_WITHIN: Duration = Duration::from_secs(1);
 /// How long one to a silent process at which calls stand is kept for that.
@@ -42,7 +44,10 @@
         };
         let name = cx.engine.name(exchange);
         cx.log.line(cx.now, "exchange-checked", format_args!("exchange={name} several={several}"));
-        cx.engine.began_check(cx.now, exchange);
+        // One that rested may be forgotten, and one that is only assumed to lead there tells nothing of the process.
+        let is_conclusive =
+            self.links.get(oldest).is_some_and(|l| l.was_in_use(cx.now) && l.leads_to(incarnation, cx));
+        cx.engine.began_check(cx.now, exchange, is_conclusive);
         if several {
             self.close_in_good_order(oldest, cx);
         } else if let Some(peer) = self.peers.get_mut(&exchange) {
@@ -52,7 +57,8 @@
     }
 
     /// The connection to a process on which nothing is open and which was silent for longest; one that carries calls comes
-    /// last, as their ends are told there.
+    /// late, as their ends are told there. Where none leads to that process for certain, it is assumed to be the one that
+    /// the others lead to.
     fn longest_silent(
         &self,
         exchange: ExchangeId,
@@ -63,8 +69,9 @@
         let links = peer.links.iter().filter_map(|t| Some((*t, self.links.get(*t)?)));
         links
             .filter(|(_, l)| l.conn.is_up() && l.open.is_empty())
-            .filter(|(_, l)| l.incarnation.is_some_and(|i| cx.engine.is_same(exchange, i, incarnation)))
-            .min_by_key(|(t, l)| (self.carries_calls(*t, cx), l.last_heard))
+            .min_by_key(|(t, l)| {
+                (!l.leads_to(incarnation, cx), self.carries_calls(*t, cx), l.last_heard)
+            })
             .map(|(token, _)| token)
     }
 
@@ -125,7 +132,7 @@
 
     /// Ends the connections to a process that is gone.
     fn abandon(&mut self, exchange: ExchangeId, incarnation: Incarnation, cx: &mut Context) {
-        let of_it = |l: &Link| l.exchange == exchange && l.abandons(incarnation, cx);
+        let of_it = |l: &Link| l.exchange == exchange && l.leads_to(incarnation, cx);
         let gone: Vec<_> = self.links.iter().filter(|(_, l)| of_it(l)).map(|(t, _)| t).collect();
         gone.into_iter().for_each(|token| self.end(token, End::Silent, cx));
         self.refill(exchange, cx);
@@ -144,14 +151,19 @@
         };
         match end {
             End::Closed => cx.engine.closed(now, exchange, incarnation, link.closing.is_some()),
-            End::Silent => cx.engine.adverse(now, exchange, Adverse::MissedReports(incarnation)),
-            End::Broken if link.closing.is_none() => self.observe_reset(exchange, incarnation, cx),
+            End::Silent if link.was_in_use(link.missed_since) => {
+                cx.engine.adverse(now, exchange, Adverse::MissedReports(incarnation));
+            }
+            End::Broken if link.closing.is_none() => self.observe_reset(link, incarnation, cx),
             _ => {}
         }
     }
 
-    /// A process that dies resets all its connections at once. One alone may be reset on the way.
-    fn observe_reset(&mut self, exchange: ExchangeId, incarnation: Incarnation, cx: &mut Context) {
+    /// A process that dies resets all its connections at once. One alone may be reset on the way, and those on which
+    /// nothing has passed for a while by an exchange that rids itself of them.
+    fn observe_reset(&mut self, link: &Link, incarnation: Incarnation, cx: &mut Context) {
+        let exchange = link.exchange;
+        let was_in_use = !link.open.is_empty() || link.was_in_use(cx.now);
         let is_left = self.links.iter().any(|(_, l)| {
             l.exchange == exchange
                 && l.closing.is_none()
@@ -161,7 +173,8 @@
             return;
         };
         peer.resets += 1;
-        let is_all = !is_left && peer.resets > 1;
+        peer.resets_in_use |= was_in_use;
+        let is_all = !is_left && peer.resets > 1 && peer.resets_in_use;
         let observation = if is_all { Adverse::AllReset(incarnation) } else { Adverse::Reset };
         cx.engine.adverse(cx.now, exchange, observation);
     }
@@ -177,7 +190,7 @@
             cx.engine.heard(cx.now, exchange, incarnation);
         }
         if let Some(peer) = self.peers.get_mut(&exchange) {
-            peer.resets = 0;
+            (peer.resets, peer.resets_in_use) = (0, false);
         }
     }
 
@@ -204,6 +217,7 @@
             return;
         };
         let incarnation = link.incarnation.unwrap_or_default();
+        let was_in_use = link.was_in_use(sent.at);
         let is_silent = cx.engine.silent_for(cx.now, exchange, incarnation) >= SILENT;
         let least = if is_silent { SILENT_FOR_ONE } else { SILENT };
         let unheard = |l: &Link, at: Duration| l.last_heard < at && cx.now >= at + least;
@@ -218,7 +232,11 @@
         let name = cx.engine.name(exchange);
         let text = format_args!("exchange={name} call={} closes={}", sent.offer.id, silent.len());
         cx.log.line(cx.now, "exchange-silent", text);
-        let observation = Adverse::Unanswered(waiting as u32 + 1, incarnation);
+        let set_ups = waiting as u32 + 1;
+        let observation = match was_in_use {
+            true => Adverse::Unanswered(set_ups, incarnation),
+            false => Adverse::UnansweredAtRest(set_ups),
+        };
         cx.engine.adverse(cx.now, exchange, observation);
         silent.into_iter().for_each(|token| self.retire(token, cx));
         self.refill(exchange, cx);
@@ -234,7 +252,13 @@
 }
 
 impl Link {
-    fn abandons(&self, incarnation: Incarnation, cx: &Context) -> bool {
+    /// Whether it had been heard on lately at a time, so that the exchange can't have forgotten it by then.
+    pub(super) fn was_in_use(&self, at: Duration) -> bool {
+        at < self.last_heard + IN_USE
+    }
+
+    /// Whether it is known to lead to the process of an incarnation.
+    fn leads_to(&self, incarnation: Incarnation, cx: &Context) -> bool {
         self.incarnation.is_some_and(|i| cx.engine.is_same(self.exchange, i, incarnation))
     }
 }
--- a/node/src/net/sip/checks.rs
+++ b/node/src/net/sip/checks.rs
@@ -32,7 +32,7 @@
         };
         let name = cx.engine.name(exchange);
         cx.log.line(cx.now, "exchange-checked", format_args!("exchange={name} by=OPTIONS"));
-        cx.engine.began_check(cx.now, exchange);
+        cx.engine.began_check(cx.now, exchange, true);
         self.send_options(leg, cx);
         self.send_all(cx);
     }
--- a/trials/src/exchange.rs
+++ b/trials/src/exchange.rs
@@ -56,6 +56,19 @@
     pub doubled_answers: u8,
     /// Out of a hundred connections, how many are accepted and never served.
     pub dead_connections: u8,
+    /// What it does with a connection on which nothing has passed for a time.
+    pub idle: Option<(Duration, IdleHabit)>,
+}
+
+/// What an exchange does with idle connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IdleHabit {
+    /// It closes them in good order.
+    Closes,
+    /// It resets them.
+    Resets,
+    /// It serves them no more and leaves them open.
+    Forgets,
 }
 
 impl Manners {
@@ -71,6 +84,7 @@
         spoilt_answers: 0,
         doubled_answers: 0,
         dead_connections: 0,
+        idle: None,
     };
 }
 
@@ -107,6 +121,8 @@
     process: u32,
     /// The peer has closed it.
     is_closed: bool,
+    /// When anything last passed on it.
+    active: Instant,
 }
 
 struct State {
@@ -310,6 +326,7 @@
         if matches!(self.mode, Mode::Serving) {
             self.accept();
             self.read();
+            self.treat_idle();
         }
         self.end_calls();
     }
@@ -389,6 +406,7 @@
                 input: Vec::new(),
                 process,
                 is_closed: false,
+                active: Instant::now(),
             });
             if is_dead {
                 continue;
@@ -417,7 +435,10 @@
                         c.is_closed = true;
                         return !closes;
                     }
-                    Ok(n) => c.input.extend_from_slice(&chunk[..n]),
+                    Ok(n) => {
+                        c.active = Instant::now();
+                        c.input.extend_from_slice(&chunk[..n]);
+                    }
                     Err(e) if e.kind() == ErrorKind::WouldBlock => break,
                     Err(_) => return false,
                 }
@@ -434,6 +455,27 @@
         }
     }
 
+    fn treat_idle(&mut self) {
+        let Some((after, habit)) = self.manners.idle else {
+            return;
+        };
+        let process = self.process;
+        self.connections.retain_mut(|c| {
+            if c.process != process || c.active.elapsed() < after {
+                return true;
+            }
+            match habit {
+                IdleHabit::Closes => return false,
+                IdleHabit::Resets => {
+                    let _ = SockRef::from(&c.stream).set_linger(Some(Duration::ZERO));
+                    return false;
+                }
+                IdleHabit::Forgets => c.process = DEAD,
+            }
+            true
+        });
+    }
+
     fn message(&mut self, connection: u64, message: Message) {
         let now = Instant::now();
         match message.verb.as_str() {
@@ -545,6 +587,7 @@
 
     fn say(&mut self, connection: u64, line: &str) {
         if let Some(c) = self.connections.iter_mut().find(|c| c.id == connection) {
+            c.active = Instant::now();
             let _ = c.stream.write_all(format!("{line}\n").as_bytes());
         }
     }
--- a/trials/src/plan.rs
+++ b/trials/src/plan.rs
@@ -1,6 +1,6 @@
 //! What goes wrong in a trial, drawn from its seed.
 
-use crate::exchange::Manners;
+use crate::exchange::{IdleHabit, Manners};
 use fastrand::Rng;
 use std::time::Duration;
 
@@ -110,6 +110,17 @@
         spoilt_answers: *pick(r, &[0, 0, 2]),
         doubled_answers: *pick(r, &[0, 0, 2]),
         dead_connections: *pick(r, &[0, 0, 4]),
+        idle: *pick(
+            r,
+            &[
+                None,
+                None,
+                None,
+                Some((ms(1500), IdleHabit::Closes)),
+                Some((ms(3000), IdleHabit::Resets)),
+                Some((ms(3000), IdleHabit::Forgets)),
+            ],
+        ),
         ..Manners::PROTOCOL
     };
     match r.u8(0..6) {
