Leave the only connection to an exchange open that does not close in return

Need: a check on a single connection closed that one as soon as another was up, also to learn whether the exchange closes in return. An exchange that serves just the connection it has lost the one on which it tells the ends of calls.

Change: of an exchange that is not known to close in return, and is not in doubt, the new connection is closed again: it has shown what it can. Its close teaches the habit as well.

--- a/node/src/engine/upkeep.rs
+++ b/node/src/engine/upkeep.rs
@@ -122,6 +122,16 @@
         self.exchanges.get(&exchange).is_some_and(|e| e.liveness.is_followed(incarnation))
     }
 
+    /// Whether an exchange is known to close in return what is closed on it.
+    pub fn closes_in_return(&self, exchange: ExchangeId) -> bool {
+        self.exchanges.get(&exchange).is_some_and(|e| e.liveness.closes_in_return())
+    }
+
+    /// Whether something speaks against the life of a process.
+    pub fn is_doubted(&self, exchange: ExchangeId, incarnation: Incarnation) -> bool {
+        self.exchanges.get(&exchange).is_some_and(|e| e.liveness.is_doubted(incarnation))
+    }
+
     /// Since when there has been no sign of life of a process.
     pub fn silent_for(&self, now: Duration, exchange: ExchangeId, incarnation: Incarnation) -> Duration {
         let exchange = self.exchanges.get(&exchange);
@@ -225,13 +235,10 @@
     /// At the end of a planned stop: callers of calls at exchanges that are in doubt are told that these are over, as
     /// nobody is left to tell them later.
     pub fn release_doubted<D: From<Wake>>(&mut self, now: Duration, d: &mut Deadlines<D>) {
-        let is_doubted = |exchange: ExchangeId, incarnation| {
-            self.exchanges.get(&exchange).is_some_and(|e| e.liveness.is_doubted(incarnation))
-        };
         let there: Vec<_> = self
             .attempts
             .iter()
-            .filter(|(_, a)| a.stands && is_doubted(a.exchange, a.incarnation))
+            .filter(|(_, a)| a.stands && self.is_doubted(a.exchange, a.incarnation))
             .map(|(token, _)| AttemptToken(token))
             .collect();
         for attempt in there {
--- a/node/src/liveness.rs
+++ b/node/src/liveness.rs
@@ -164,6 +164,11 @@
         self.adverse > 0 || newer.iter().any(|g| !g.is_assumed_same)
     }
 
+    /// Whether it is known to close in return what is closed on it.
+    pub fn closes_in_return(&self) -> bool {
+        self.habit == Habit::Closes
+    }
+
     /// The incarnation of the newest process, which is taken to live where nothing is known of any.
     pub fn newest(&mut self, now: Duration) -> Incarnation {
         match self.groups.last() {
--- a/node/src/net/exchanges/upkeep.rs
+++ b/node/src/net/exchanges/upkeep.rs
@@ -75,12 +75,20 @@
             .map(|(token, _)| token)
     }
 
-    /// A connection has come up beside the only one, which may be closed now.
+    /// A connection has come up beside the only one. Of a process that closes in return, the old one is closed: that shows
+    /// whether it lives. Of any other, the new one has shown all that it can, unless the old one is in doubt.
     pub(super) fn renewed(&mut self, token: Token, exchange: ExchangeId, cx: &mut Context) {
-        let renews = self.peers.get_mut(&exchange).and_then(|p| p.renews.take());
-        let oldest = renews.and_then(|incarnation| self.longest_silent(exchange, incarnation, cx));
-        if let Some(oldest) = oldest.filter(|t| *t != token) {
+        let Some(incarnation) = self.peers.get_mut(&exchange).and_then(|p| p.renews.take()) else {
+            return;
+        };
+        let oldest = self.longest_silent(exchange, incarnation, cx).filter(|t| *t != token);
+        let Some(oldest) = oldest else {
+            return;
+        };
+        if cx.engine.closes_in_return(exchange) {
             self.close_in_good_order(oldest, cx);
+        } else if !cx.engine.is_doubted(exchange, incarnation) {
+            self.close_in_good_order(token, cx);
         }
     }
 
--- a/node/tests/liveness.rs
+++ b/node/tests/liveness.rs
@@ -316,3 +316,14 @@
     let idle = Some((MS(3000), IdleHabit::Resets));
     lives_in_silence(Manners { idle, ..Manners::PROTOCOL }, true);
 }
+
+/// An exchange that goes on serving the one connection it has, and no other: that one is not taken from it.
+#[test]
+fn silent_and_alive_and_serves_one_connection() {
+    let bare = Manners { greets: false, reports: false, ..Manners::PROTOCOL };
+    let mut world = World::new(bare, false);
+    let tags = world.stand(2);
+    world.exchange.behave(Manners { dead_connections: 100, ..bare });
+    world.offer(MS(16_000), None);
+    world.expect_kept(&tags);
+}
