Take an exchange that is back soon after failed dials alone for one that stalled

Cause: an exchange that does not close in return, has nothing to say, and was cut off for 2 or 4 s came back as a new incarnation, and its calls were cut 7.2 s after its last sign. Connections reset one at a time, seconds apart, added up to a reset of all.

Change: where no connection in use is known to be dead, whoever is back within 4.75 s of the last sign of life is assumed to be the same; reports that the old connections miss tell it apart, also after a rest, if dials had failed. Resets count together within 0.5 s.

--- a/node/src/liveness.rs
+++ b/node/src/liveness.rs
@@ -26,6 +26,9 @@
 /// Adverse observations in a row from which on a new connection is not taken for one to the same process: one dial in
 /// fifty never comes up, and an answer may be lost.
 const DOUBTED_FROM: u32 = 2;
+/// Where dials failed and no connection in use is known to be dead, whoever comes back within this time of the last sign of
+/// life is taken for the same process: it stalled or was cut off for a while, and a process takes longer to be replaced.
+const STALLS_FOR: Duration = Duration::from_millis(4750);
 /// Incarnations kept in mind; beyond it the two oldest count as one.
 const MOST_INCARNATIONS: usize = 16;
 
@@ -49,6 +52,8 @@
     AllReset(Incarnation),
     /// A connection to an incarnation that had been in use has missed what others have brought.
     MissedReports(Incarnation),
+    /// The same of one that had rested: the exchange may have forgotten it, unless it could not be reached meanwhile.
+    MissedReportsAtRest(Incarnation),
     /// A check brought no sign of life.
     CheckFailed,
 }
@@ -56,7 +61,7 @@
 impl Adverse {
     fn weight(self) -> u32 {
         match self {
-            Adverse::Reset | Adverse::MissedReports(_) => 0,
+            Adverse::Reset | Adverse::MissedReports(_) | Adverse::MissedReportsAtRest(_) => 0,
             Adverse::DialFailed | Adverse::CheckFailed => 1,
             Adverse::Unanswered(set_ups, _) | Adverse::UnansweredAtRest(set_ups) => set_ups,
             Adverse::AllReset(_) => DOUBTED_FROM,
@@ -69,7 +74,8 @@
         match self {
             Adverse::DialFailed | Adverse::CheckFailed => true,
             Adverse::AllReset(_) | Adverse::Unanswered(..) => true,
-            Adverse::Reset | Adverse::UnansweredAtRest(_) | Adverse::MissedReports(_) => false,
+            Adverse::Reset | Adverse::UnansweredAtRest(_) => false,
+            Adverse::MissedReports(_) | Adverse::MissedReportsAtRest(_) => false,
         }
     }
 
@@ -79,6 +85,7 @@
             Adverse::Unanswered(_, i) | Adverse::AllReset(i) | Adverse::MissedReports(i) => Some(i),
             Adverse::DialFailed | Adverse::CheckFailed => None,
             Adverse::Reset | Adverse::UnansweredAtRest(_) => None,
+            Adverse::MissedReportsAtRest(i) => Some(i),
         }
     }
 }
@@ -131,6 +138,8 @@
     /// Weight of adverse observations since the newest process last gave a sign of life, and whether there was any.
     adverse: u32,
     is_suspect: bool,
+    /// Among these: a connection in use was dead.
+    has_dead_connection: bool,
     /// When calls stood there first.
     first_review: Option<Duration>,
     /// When a check was last asked for, and since when one is under way.
@@ -198,7 +207,7 @@
             self.groups.remove(1);
         }
         if !is_assumed_same {
-            (self.adverse, self.is_suspect) = (0, false);
+            self.clear_adverse();
         }
         first
     }
@@ -210,21 +219,23 @@
         };
         let is_checked = self.checking.is_some_and(|since| newest.began.max(newest.proven) < since);
         let closes = self.habit == Habit::Closes;
-        let is_told_apart = newest.is_interrupted && (closes || self.adverse >= DOUBTED_FROM);
+        let is_stall = !self.has_dead_connection && now < self.last_proven() + STALLS_FOR;
+        let is_doubted = self.adverse >= DOUBTED_FROM && !is_stall;
+        let is_told_apart = newest.is_interrupted && (closes || is_doubted);
         if is_told_apart || is_checked && self.is_conclusive && closes {
             return self.begin(now, false);
         }
         if (self.is_suspect || is_checked) && !newest.is_assumed_same {
             let incarnation = self.begin(now, true);
-            return self.came_up(now, incarnation);
+            return self.came_up(now, incarnation, is_stall);
         }
-        self.came_up(now, newest.first)
+        self.came_up(now, newest.first, is_stall)
     }
 
-    /// That a connection comes up is a sign of life where nothing speaks against it; but not of whoever speaks first on
-    /// each, and has not done so yet.
-    fn came_up(&mut self, now: Duration, incarnation: Incarnation) -> Incarnation {
-        if !self.greets && !self.is_suspect {
+    /// That a connection comes up is a sign of life where nothing speaks against it, or failed dials alone; but not of
+    /// whoever speaks first on each, and has not done so yet.
+    fn came_up(&mut self, now: Duration, incarnation: Incarnation, is_stall: bool) -> Incarnation {
+        if !self.greets && (!self.is_suspect || is_stall) {
             self.heard(now, incarnation);
         }
         incarnation
@@ -238,7 +249,16 @@
         self.groups.truncate(index + 1);
         self.groups[index].proven = now;
         self.groups[index].is_interrupted = false;
-        (self.adverse, self.is_suspect) = (0, false);
+        self.clear_adverse();
+    }
+
+    fn clear_adverse(&mut self) {
+        (self.adverse, self.is_suspect, self.has_dead_connection) = (0, false, false);
+    }
+
+    /// The last sign of life of the newest process.
+    fn last_proven(&self) -> Duration {
+        self.groups.len().checked_sub(1).map_or(Duration::ZERO, |last| self.proven(last))
     }
 
     /// The peer has closed a connection in good order; `asked`: it was closed on it before.
@@ -260,11 +280,15 @@
             self.groups.iter_mut().for_each(|g| g.is_interrupted = true);
         }
         let index = observation.incarnation().and_then(|i| self.index(i));
+        let is_at_rest = matches!(observation, Adverse::MissedReportsAtRest(_));
         match index.filter(|i| i + 1 < self.groups.len()) {
+            Some(index) if is_at_rest && !self.groups[index].is_interrupted => {}
             Some(index) => self.tell_apart(index),
+            None if is_at_rest => {}
             None => {
                 self.adverse = self.adverse.saturating_add(observation.weight());
                 self.is_suspect = true;
+                self.has_dead_connection |= observation.incarnation().is_some();
             }
         }
     }
@@ -410,7 +434,7 @@
         let mut liveness = Liveness::default();
         let old = liveness.connected(ms(0));
         liveness.adverse(Adverse::DialFailed);
-        liveness.adverse(Adverse::DialFailed);
+        liveness.adverse(Adverse::Unanswered(1, old));
         let new = liveness.connected(ms(3100));
         assert!(new != old && liveness.is_doubted(old) && !liveness.is_doubted(new));
         liveness.heard(ms(3200), new);
@@ -419,6 +443,20 @@
         assert_eq!(liveness.group(new), new);
     }
 
+    /// Guards against calls cut at a process that stalled for a while and has nothing to say, and against a new process
+    /// that comes after a longer outage and vouches for the one before.
+    #[test]
+    fn whoever_comes_back_soon_after_failed_dials_alone_is_taken_for_the_same() {
+        for (back, is_same) in [(4500, true), (5000, false)] {
+            let mut liveness = Liveness::default();
+            let old = liveness.connected(ms(0));
+            (0..3).for_each(|_| liveness.adverse(Adverse::DialFailed));
+            let new = liveness.connected(ms(back));
+            liveness.heard(ms(back), new);
+            assert_eq!(liveness.is_doubted(old), !is_same, "{back}");
+        }
+    }
+
     /// Guards against calls cut at a process that was cut off and is there again.
     #[test]
     fn an_old_connection_that_speaks_shows_that_it_is_the_same_process() {
--- a/node/src/net/exchanges/mod.rs
+++ b/node/src/net/exchanges/mod.rs
@@ -60,6 +60,7 @@
     resets: u32,
     /// One of them was in use.
     resets_in_use: bool,
+    reset_at: Duration,
     /// Releases of calls that stand, with no connection to go on yet.
     unsent: Vec<(Duration, Vec<u8>)>,
 }
@@ -157,6 +158,7 @@
             renews: None,
             resets: 0,
             resets_in_use: false,
+            reset_at: Duration::ZERO,
             unsent: Vec::new(),
         });
         peer.phase = phase;
@@ -551,9 +553,12 @@
                 self.doomed.push((other, End::Silent));
             }
             // Where there are more than get reports, it is the newer ones that go without.
-            let older = link.incarnation.filter(|i| Some(*i) < reporter);
-            if let Some(incarnation) = older.filter(|_| link.was_in_use(link.missed_since)) {
-                cx.engine.adverse(cx.now, exchange, Adverse::MissedReports(incarnation));
+            if let Some(incarnation) = link.incarnation.filter(|i| Some(*i) < reporter) {
+                let observation = match link.was_in_use(link.missed_since) {
+                    true => Adverse::MissedReports(incarnation),
+                    false => Adverse::MissedReportsAtRest(incarnation),
+                };
+                cx.engine.adverse(cx.now, exchange, observation);
             }
         }
     }
--- a/node/src/net/exchanges/upkeep.rs
+++ b/node/src/net/exchanges/upkeep.rs
@@ -21,6 +21,8 @@
 const GREETS_WITHIN: Duration = Duration::from_millis(500);
 /// No exchange closes, resets or forgets a connection that has rested for less than this.
 const IN_USE: Duration = Duration::from_secs(3);
+/// Connections that are reset within this time of each other are reset at once.
+const AT_ONCE: Duration = Duration::from_millis(500);
 /// How long the peer has to close a connection that is closed on it, before that is looked at again.
 const CLOSES_WITHIN: Duration = Duration::from_secs(1);
 /// How long one to a silent process at which calls stand is kept for that.
@@ -180,7 +182,11 @@
         let Some(peer) = self.peers.get_mut(&exchange) else {
             return;
         };
+        if cx.now > peer.reset_at + AT_ONCE {
+            (peer.resets, peer.resets_in_use) = (0, false);
+        }
         peer.resets += 1;
+        peer.reset_at = cx.now;
         peer.resets_in_use |= was_in_use;
         let is_all = !is_left && peer.resets > 1 && peer.resets_in_use;
         let observation = if is_all { Adverse::AllReset(incarnation) } else { Adverse::Reset };
