Test again which ends of a dial speak against an exchange, and that a refusal ends calls

Change: Adverse::of_dial holds the choice, for dials that fail at once and later ones alike, and a unit test gives it seven ends. The engine's test has all six kinds of observation. A story has a process that dies for good, on one connection and on four.

--- a/node/src/liveness.rs
+++ b/node/src/liveness.rs
@@ -9,6 +9,7 @@
 //! What stands at an incarnation without a sign of life for [`LOST_AFTER`] is lost, where something speaks against its
 //! life as well: dials that failed, set-ups without an answer, checks without a result, or a newer incarnation.
 
+use crate::end::End;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -59,6 +60,12 @@
 }
 
 impl Adverse {
+    /// What the end of a dial shows of the exchange. What this side ended or had no socket for shows nothing, and one that
+    /// was reset while new shows that somebody is there.
+    pub fn of_dial(end: End) -> Option<Self> {
+        matches!(end, End::Refused | End::DialTimedOut).then_some(Adverse::DialFailed)
+    }
+
     fn weight(self) -> u32 {
         match self {
             Adverse::Reset | Adverse::MissedReports(_) | Adverse::MissedReportsAtRest(_) => 0,
@@ -389,6 +396,17 @@
         })
     }
 
+    /// Guards against doubt in an exchange since a connection was reset while new, or could not be made from here.
+    #[test]
+    fn only_a_dial_that_was_refused_or_never_came_up_speaks_against_an_exchange() {
+        for end in [End::NeverUp, End::NoSocket, End::ClosedHere, End::Closed, End::Broken] {
+            assert_eq!(Adverse::of_dial(end), None, "{end}");
+        }
+        for end in [End::Refused, End::DialTimedOut] {
+            assert_eq!(Adverse::of_dial(end), Some(Adverse::DialFailed), "{end}");
+        }
+    }
+
     /// Guards against calls that are cut since nobody looked: silence alone proves nothing.
     #[test]
     fn silence_is_checked_and_loses_nothing_by_itself_while_connections_come_up() {
--- a/node/src/net/exchanges/mod.rs
+++ b/node/src/net/exchanges/mod.rs
@@ -268,8 +268,8 @@
             Err(e) => {
                 let end = dial_end(e.kind());
                 failed(cx, end);
-                if end != End::NoSocket {
-                    cx.engine.adverse(cx.now, exchange, Adverse::DialFailed);
+                if let Some(observation) = Adverse::of_dial(end) {
+                    cx.engine.adverse(cx.now, exchange, observation);
                 }
                 self.redial(exchange, cx);
                 return None;
--- a/node/src/net/exchanges/upkeep.rs
+++ b/node/src/net/exchanges/upkeep.rs
@@ -152,10 +152,8 @@
     pub(super) fn observe_end(&mut self, link: &Link, was_listed: bool, end: End, cx: &mut Context) {
         let (now, exchange) = (cx.now, link.exchange);
         let Some(incarnation) = link.incarnation else {
-            // What this side ended, or had no socket for, says nothing of the exchange; one that was reset while new
-            // says that somebody is there.
-            if was_listed && matches!(end, End::Refused | End::DialTimedOut) {
-                cx.engine.adverse(now, exchange, Adverse::DialFailed);
+            if let Some(observation) = Adverse::of_dial(end).filter(|_| was_listed) {
+                cx.engine.adverse(now, exchange, observation);
             }
             return;
         };
--- a/node/tests/engine.rs
+++ b/node/tests/engine.rs
@@ -6,7 +6,7 @@
 use slateshed_node::deadlines::Deadlines;
 use slateshed_node::end::End;
 use slateshed_node::engine::*;
-use slateshed_node::liveness::Adverse;
+use slateshed_node::liveness::{Adverse, Incarnation};
 use std::time::Duration;
 
 fn ms(n: u64) -> Duration {
@@ -267,7 +267,15 @@
 /// connections were reset: only a refused connection with none open proves that the process is down.
 #[test]
 fn nothing_but_a_refused_connection_cuts_what_stands_at_once() {
-    let adverse = [Adverse::DialFailed, Adverse::Reset, Adverse::CheckFailed];
+    let first = Incarnation::default();
+    let adverse = [
+        Adverse::DialFailed,
+        Adverse::Unanswered(9, first),
+        Adverse::Reset,
+        Adverse::AllReset(first),
+        Adverse::MissedReports(first),
+        Adverse::CheckFailed,
+    ];
     for observation in adverse.map(Some).into_iter().chain([None]) {
         let mut world = World::new();
         let call = world.call(3000);
--- a/node/tests/liveness.rs
+++ b/node/tests/liveness.rs
@@ -327,3 +327,18 @@
     world.offer(MS(16_000), None);
     world.expect_kept(&tags);
 }
+
+/// A process that dies for good: its connections are reset and new ones refused, which ends its calls at once.
+#[test]
+fn crashed_for_good() {
+    for is_wide in [true, false] {
+        let mut world = World::new(Manners::PROTOCOL, is_wide);
+        let tags = world.stand(3);
+        world.exchange.crash();
+        let over = Instant::now();
+        for tag in &tags {
+            let told = world.caller.over(tag, PASSED_ON_WITHIN);
+            assert!(told.is_some(), "{tag} not told {:?} after the crash", over.elapsed());
+        }
+    }
+}
