--- a/review/stand-ins/cases.rs
+++ b/review/stand-ins/cases.rs
@@ -14,6 +14,7 @@
         "takeover" => Some(takeover(trouble)),
         "silent-client" => Some(silent_client(trouble)),
         "vanished-sip-exchange" => Some(vanished_sip_exchange(trouble)),
+        "replaced" => Some(replaced(trouble)),
         "draining-reset" => Some(draining_reset(trouble)),
         _ => {
             println!("unknown case {name}");
@@ -315,7 +316,7 @@
         }
     }
     std::thread::sleep(ms(700));
-    journal.tell(1, exchange_addr, "terminating");
+    journal.tell("s-1", 1, exchange_addr, "terminating", 0);
     std::thread::sleep(ms(900));
     // Two calls of one connection end.
     let conn_of = |n: u64| exchange.find(&["START"], &tag(n)).expect("it was set up").conn;
@@ -364,3 +365,68 @@
     }
     kept
 }
+
+/// After a quiet time the machine of an exchange vanishes, and its replacement is at its address 1.1 s later.
+fn replaced(trouble: bool) -> bool {
+    let record = Record::new();
+    let report = r#"{"verb":"LOAD","tag":"","opts":{"load":"spare:28;total:40"}}"#;
+    let (exchange, exchange_addr) = Lines::exchange("exchange 1", report, &record);
+    let (listen, admin) = (free_addr(), free_addr());
+    let servers = [(0, free_addr()), (1, exchange_addr)];
+    let journal = Journal::start(&record);
+    let config = config(listen, admin, journal.addr, &servers);
+    let daemon = Daemon::start("n0", &config, None, None, &record);
+    daemon.wait_healthy(admin);
+    std::thread::sleep(ms(300));
+    let client = Lines::new("client", &record);
+    let conn = client.connect(listen);
+    let calls: Vec<String> = (1..=6).map(tag).collect();
+    for call in &calls {
+        client.send(conn, &set_up(call, "box-photos", 3000, 1, 2));
+        exchange.expect("START", call);
+        exchange.answer(call);
+        client.expect("STARTED", call);
+    }
+    // The calls stand for 9 to 11 s. Then the machine vanishes between two of the connections that the controller opens
+    // to a silent exchange, one each two seconds.
+    std::thread::sleep(ms(9000));
+    let count = exchange.conn_count();
+    wait_until(ms(3000), || exchange.conn_count() > count);
+    std::thread::sleep(ms(300));
+    let count = exchange.conn_count();
+    if trouble {
+        exchange.vanish();
+    } else {
+        calls.iter().for_each(|call| exchange.release(call, 16));
+    }
+    let ended_at = Instant::now();
+    let sleep_until = |after: u64| {
+        std::thread::sleep((ended_at + ms(after)).saturating_duration_since(Instant::now()));
+    };
+    if trouble {
+        sleep_until(1100);
+        assert!(exchange.conn_count() == count, "a connection was opened while the machine was away");
+        record.line("exchange 1", "its replacement, a new process with a new id, is at the address");
+        exchange.set_report(r#"{"verb":"LOAD","tag":"","opts":{"load":"spare:40;total:40"}}"#);
+        let started_ms = unix_time().as_millis();
+        // Discovery adds the new exchange 1.1 s after its start, and notices after 10 s that the old one is gone.
+        sleep_until(2200);
+        journal.tell("s-1b", 1, exchange_addr, "in_service", started_ms);
+        sleep_until(10_000);
+        journal.tell("s-1", 1, exchange_addr, "terminated", 0);
+    }
+    sleep_until(11_000);
+    let mut kept = true;
+    for call in &calls {
+        let found = client.find(&["FINISH"], call);
+        let after = found.map(|r| r.at.saturating_duration_since(ended_at));
+        let limit = if trouble { ms(8000) } else { ms(1000) };
+        let in_time = after.is_some_and(|after| after <= limit + SLACK);
+        record.line(
+            "check",
+            &format!("call {call}: released towards its client after {after:?}, kept={in_time}"),
+        );
+        kept &= in_time;
+    }
+    kept
+}
--- a/review/stand-ins/parts.rs
+++ b/review/stand-ins/parts.rs
@@ -93,6 +93,18 @@
  "siblings":3,"specifics":{"allowed_pools":[],"channels_needed":[1,2,1],"clear_wait_ms":500.0,"here":0,"layout":"meshed","mean_hold_ms":[12000.0,19200.0,9600.0],"resend_ms":0.0},
  "tenants":[],"tick_ms":5.0,"zones":["suva"]}"#;
 
+/// One exchange in the list of the journal service.
+fn server_entry(id: &str, cell: u32, addr: SocketAddr, state: &str, started_ms: u128) -> String {
+    format!(
+        r#"{{"id":"{id}","addr":"{addr}","zone":"suva","kind":"std","cell":{cell},"state":"{state}","weight":1,"started_ms":{started_ms}}}"#
+    )
+}
+
+/// The Unix time.
+pub fn unix_time() -> Duration {
+    std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("after 1970")
+}
+
 /// The configuration of the platform. `exchanges` are the number and the address of each.
 pub fn config(
     listen: SocketAddr,
@@ -101,9 +113,7 @@
     exchanges: &[(u32, SocketAddr)],
 ) -> String {
     let server = |(cell, addr): &(u32, SocketAddr)| {
-        format!(
-            r#"{{"id":"s-{cell}","addr":"{addr}","zone":"suva","kind":"std","cell":{cell},"state":"in_service","weight":1,"started_ms":0}}"#
-        )
+        server_entry(&format!("s-{cell}"), *cell, *addr, "in_service", 0)
     };
     let servers = exchanges.iter().map(server).collect::<Vec<_>>().join(",");
     let nanos = std::time::SystemTime::now()
@@ -252,12 +262,14 @@
         }
     }
 
-    /// Adds the event that an exchange has another state.
-    pub fn tell(&self, cell: u32, addr: SocketAddr, state: &str) {
+    /// Adds an event about one exchange: its id, number, address, state, and when it started late (in Unix
+    /// milliseconds) or 0.
+    pub fn tell(&self, id: &str, cell: u32, addr: SocketAddr, state: &str, started_ms: u128) {
         let mut events = self.events.lock().unwrap();
         let pos = events.len() + 2;
+        let server = server_entry(id, cell, addr, state, started_ms);
         events.push(format!(
-            r#"{{"pos":{pos},"hosts":{{"version":{pos},"full":false,"servers":[{{"id":"s-{cell}","addr":"{addr}","zone":"suva","kind":"std","cell":{cell},"state":"{state}","weight":1,"started_ms":0}}]}}}}"#
+            r#"{{"pos":{pos},"hosts":{{"version":{pos},"full":false,"servers":[{server}]}}}}"#
         ));
     }
 }
@@ -279,6 +291,8 @@
     on_next: Vec<String>,
     /// The report with which an exchange begins each connection; empty for a client.
     report: String,
+    /// Connections with a lower number lead to a machine that has vanished: they are open and silent.
+    vanished_below: usize,
 }
 
 /// A stand-in that speaks lines on any number of connections: an exchange or a client.
@@ -329,6 +343,10 @@
         std::thread::spawn(move || {
             for line in BufReader::new(reader).lines() {
                 let Ok(line) = line else { break };
+                if conn < lines.state.lock().unwrap().vanished_below {
+                    lines.record.line(&lines.name, &format!("connection {conn} (vanished): {line}"));
+                    continue;
+                }
                 lines.record.line(&lines.name, &format!("connection {conn} < {line}"));
                 if field(&line, "verb") == "ECHO" {
                     let tag = field(&line, "tag");
@@ -341,6 +359,9 @@
                 .record
                 .line(&lines.name, &format!("connection {conn} has been ended by the other side"));
             let mut state = lines.state.lock().unwrap();
+            if conn < state.vanished_below {
+                return;
+            }
             if let Some(stream) = state.conns[conn].take() {
                 let _ = stream.shutdown(Shutdown::Both);
             }
@@ -402,6 +423,19 @@
         self.find(&[verb], tag).expect("it was found")
     }
 
+    /// Number of connections so far.
+    pub fn conn_count(&self) -> usize {
+        self.state.lock().unwrap().conns.len()
+    }
+
+    /// The machine of an exchange vanishes: what is open stays open and silent.
+    pub fn vanish(&self) {
+        self.record.line(&self.name, "its machine vanishes: all its calls are over");
+        let mut state = self.state.lock().unwrap();
+        state.vanished_below = state.conns.len();
+        state.on_next.clear();
+    }
+
     /// Changes the report with which an exchange begins each connection.
     pub fn set_report(&self, report: &str) {
         self.state.lock().unwrap().report = report.to_owned();
