--- a/review/stand-ins/cases.rs
+++ b/review/stand-ins/cases.rs
@@ -15,6 +15,7 @@
         "silent-client" => Some(silent_client(trouble)),
         "vanished-sip-exchange" => Some(vanished_sip_exchange(trouble)),
         "replaced" => Some(replaced(trouble)),
+        "quiet-drain" => Some(quiet_drain(trouble)),
         "draining-reset" => Some(draining_reset(trouble)),
         _ => {
             println!("unknown case {name}");
@@ -430,3 +431,40 @@
     }
     kept
 }
+
+/// An exchange drains while calls stand at it and it has nothing to say. It keeps open the connections that the controller
+/// closes, as calls were set up on them.
+fn quiet_drain(trouble: bool) -> bool {
+    let record = Record::new();
+    let report = r#"{"verb":"LOAD","tag":"","opts":{"load":"spare:37;total:40"}}"#;
+    let (exchange, exchange_addr) = Lines::exchange("exchange 1", report, &record);
+    exchange.keep_open();
+    let (listen, admin) = (free_addr(), free_addr());
+    let servers = [(0, free_addr()), (1, exchange_addr)];
+    let journal = Journal::start(&record);
+    let config = config(listen, admin, journal.addr, &servers);
+    let daemon = Daemon::start("n0", &config, None, None, &record);
+    daemon.wait_healthy(admin);
+    std::thread::sleep(ms(300));
+    let client = Lines::new("client", &record);
+    let conn = client.connect(listen);
+    let calls: Vec<String> = (1..=3).map(tag).collect();
+    for call in &calls {
+        client.send(conn, &set_up(call, "box-photos", 3000, 1, 2));
+        exchange.expect("START", call);
+        exchange.answer(call);
+        client.expect("STARTED", call);
+    }
+    std::thread::sleep(ms(2500));
+    if trouble {
+        journal.tell("s-1", 1, exchange_addr, "terminating", 0);
+    }
+    std::thread::sleep(ms(13_000));
+    let mut kept = true;
+    for call in &calls {
+        let cut = client.find(&["FINISH"], call).is_some();
+        record.line("check", &format!("call {call}: told that it is over though it stands: {cut}"));
+        kept &= !cut;
+    }
+    kept
+}
--- a/review/stand-ins/parts.rs
+++ b/review/stand-ins/parts.rs
@@ -293,6 +293,8 @@
     report: String,
     /// Connections with a lower number lead to a machine that has vanished: they are open and silent.
     vanished_below: usize,
+    /// A connection that the other side has closed is kept open from this side.
+    keeps_open: bool,
 }
 
 /// A stand-in that speaks lines on any number of connections: an exchange or a client.
@@ -359,7 +361,7 @@
                 .record
                 .line(&lines.name, &format!("connection {conn} has been ended by the other side"));
             let mut state = lines.state.lock().unwrap();
-            if conn < state.vanished_below {
+            if conn < state.vanished_below || state.keeps_open {
                 return;
             }
             if let Some(stream) = state.conns[conn].take() {
@@ -423,6 +425,11 @@
         self.find(&[verb], tag).expect("it was found")
     }
 
+    /// From now on, connections that the other side closes are kept open from this side.
+    pub fn keep_open(&self) {
+        self.state.lock().unwrap().keeps_open = true;
+    }
+
     /// Number of connections so far.
     pub fn conn_count(&self) -> usize {
         self.state.lock().unwrap().conns.len()
