Show releases that wait for a caller or match no call in the figures and the log

The figures gain pending_releases and unmatched_releases; the log gains release-unmatched, the undelivered releases in stopped, and the connections left in exchange-ended.

--- a/node/src/net/clients.rs
+++ b/node/src/net/clients.rs
@@ -152,6 +152,11 @@
         self.conns.is_empty()
     }
 
+    /// Number of releases that wait for a connection.
+    pub fn pending_release_count(&self) -> usize {
+        self.pending_releases.len()
+    }
+
     /// Whether a message from any client is partially received.
     pub fn has_partial_message(&self) -> bool {
         self.conns.iter().any(|(_, c)| c.conn.has_partial_line())
--- a/node/src/net/exchanges/mod.rs
+++ b/node/src/net/exchanges/mod.rs
@@ -127,6 +127,8 @@
     connections_to_end: Vec<(Token, EndReason)>,
     /// Connections with unread data left over from the last iteration.
     unread: Vec<Token>,
+    /// Number of releases received under an id that no attempt has.
+    unmatched_releases: u64,
 }
 
 /// Encodes a set-up for an exchange.
@@ -147,6 +149,7 @@
             by_tag: HashMap::new(),
             connections_to_end: Vec::new(),
             unread: Vec::new(),
+            unmatched_releases: 0,
         }
     }
 
@@ -155,6 +158,11 @@
         self.attempts.contains_key(&attempt)
     }
 
+    /// Number of releases received under an id that no attempt has.
+    pub fn unmatched_releases(&self) -> u64 {
+        self.unmatched_releases
+    }
+
     /// Whether the send buffers of all established connections are empty.
     pub fn is_flushed(&self) -> bool {
         self.connections.iter().all(|(_, c)| !c.socket.is_connected() || c.socket.is_flushed())
@@ -702,7 +710,16 @@
                 cx.engine.attempt_ended(cx.now, attempt, end, cx.timers);
                 self.close_if_drained(token, cx);
             }
-            ("STARTED" | "FINISH", None) => {}
+            ("FINISH", None) => {
+                self.unmatched_releases += 1;
+                let name = cx.engine.exchange_name(exchange);
+                cx.log.line(
+                    cx.now,
+                    "release-unmatched",
+                    format_args!("call={} exchange={name}", message.tag),
+                );
+            }
+            ("STARTED", None) => {}
             ("PENDING" | "FINISHED" | "LOAD" | "ECHOED", _) => {}
             ("ECHO", _) => self.send(token, &encode_message("ECHOED", &message.tag, &[], Some(1), None)),
             _ => return Err(EndReason::MalformedMessage),
@@ -730,7 +747,12 @@
         }
         if end != EndReason::ClosedLocally {
             let (name, unanswered) = (cx.engine.exchange_name(exchange), connection.unanswered.len());
-            cx.log.line(cx.now, "exchange-ended", format_args!("{name}: {end}, {unanswered} open"));
+            let remaining = self.connected_count(exchange);
+            cx.log.line(
+                cx.now,
+                "exchange-ended",
+                format_args!("{name}: {end}, {unanswered} open, {remaining} connections left"),
+            );
         }
         self.observe_end(&connection, was_active, end, cx);
         // A failed dial indicates that the exchange is unreachable only if no other connection is established
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -14,7 +14,7 @@
 use crate::config::{Config, ListEvent, WireConfig};
 use crate::engine::{Command, Engine, EngineTimer};
 use crate::log::Log;
-use crate::stats::{self, Reloads};
+use crate::stats::{self, HostStats, Reloads};
 use crate::timers::TimerQueue;
 use clients::Clients;
 use exchanges::Exchanges;
@@ -297,7 +297,12 @@
                         continue;
                     };
                     if let Some(command) = operators.ready(token, &mut cx) {
-                        let answer = execute_operator_command(command, reloads, &mut cx);
+                        let host_stats = HostStats {
+                            reloads,
+                            pending_releases: clients.pending_release_count(),
+                            unmatched_releases: exchanges.unmatched_releases(),
+                        };
+                        let answer = execute_operator_command(command, host_stats, &mut cx);
                         operators.answer(token, &answer, &mut cx);
                     }
                 }
@@ -414,7 +419,11 @@
                 cx.log.line(
                     now,
                     "stopped",
-                    format_args!("{} calls stand", cx.engine.established_calls()),
+                    format_args!(
+                        "{} calls stand, {} releases undelivered",
+                        cx.engine.established_calls(),
+                        clients.pending_release_count()
+                    ),
                 );
                 return Ok(());
             }
@@ -444,13 +453,17 @@
 }
 
 /// Executes an operator's command and returns the answer.
-fn execute_operator_command(command: OperatorCommand, reloads: Reloads, cx: &mut Context) -> String {
+fn execute_operator_command(
+    command: OperatorCommand,
+    host_stats: HostStats,
+    cx: &mut Context,
+) -> String {
     let now = cx.now;
     match command {
         OperatorCommand::Health if cx.lifecycle.is_stopping() => "error stopping\n".to_owned(),
         OperatorCommand::Health => "done\n".to_owned(),
         OperatorCommand::Dump => {
-            format!("{}\nend\n", stats::json(&cx.engine.stats(), reloads, &cx.wire.classes))
+            format!("{}\nend\n", stats::json(&cx.engine.stats(), host_stats, &cx.wire.classes))
         }
         OperatorCommand::Leave => {
             cx.log.line(now, "drained", format_args!("{} answers owed", cx.engine.unanswered_calls()));
--- a/node/src/stats.rs
+++ b/node/src/stats.rs
@@ -14,8 +14,19 @@
     pub rejected: u64,
 }
 
+/// Statistics that the host of the engine counts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HostStats {
+    /// Reloads of the configuration.
+    pub reloads: Reloads,
+    /// Releases towards callers that wait for a connection.
+    pub pending_releases: usize,
+    /// Releases from exchanges under an id that no call or attempt has.
+    pub unmatched_releases: u64,
+}
+
 /// Formats the statistics; `classes` are the names of the classes in the order of the settings.
-pub fn json(stats: &Stats, reloads: Reloads, classes: &[String]) -> String {
+pub fn json(stats: &Stats, host: HostStats, classes: &[String]) -> String {
     let mut out = String::from("{\"results\":{");
     for (i, (class, counts)) in classes.iter().zip(&stats.results).enumerate() {
         let comma = if i == 0 { "" } else { "," };
@@ -33,12 +44,14 @@
         ("outstanding", stats.outstanding as u64),
         ("discovered", stats.discovered as u64),
         ("ejected", stats.ejected as u64),
-        ("sighup_applied", reloads.applied),
-        ("sighup_rejected", reloads.rejected),
+        ("sighup_applied", host.reloads.applied),
+        ("sighup_rejected", host.reloads.rejected),
         ("standing", stats.established as u64),
         ("retries", stats.retries),
         ("checks", stats.checks),
         ("adverse_observations", stats.adverse_observations),
+        ("pending_releases", host.pending_releases as u64),
+        ("unmatched_releases", host.unmatched_releases),
     ];
     for (name, count) in totals {
         let _ = write!(out, ",\"{name}\":{count}");
@@ -83,7 +96,9 @@
             adverse_observations: 2,
         };
         let classes = ["voice".to_owned(), "a \"b\"\n".to_owned()];
-        let line = json(&stats, Reloads { applied: 2, rejected: 1 }, &classes);
-        insta::assert_snapshot!(line, @r#"{"results":{"voice":{"succeeded":8,"declined":2,"aborted":1},"a \"b\"\n":{"succeeded":8,"declined":2,"aborted":1}},"forwards":14,"outstanding":3,"discovered":5,"ejected":1,"sighup_applied":2,"sighup_rejected":1,"standing":2,"retries":3,"checks":6,"adverse_observations":2,"releases":{"cut":1,"ended":5},"attempt_ends":{"timed out":4}}"#);
+        let reloads = Reloads { applied: 2, rejected: 1 };
+        let host = HostStats { reloads, pending_releases: 7, unmatched_releases: 9 };
+        let line = json(&stats, host, &classes);
+        insta::assert_snapshot!(line, @r#"{"results":{"voice":{"succeeded":8,"declined":2,"aborted":1},"a \"b\"\n":{"succeeded":8,"declined":2,"aborted":1}},"forwards":14,"outstanding":3,"discovered":5,"ejected":1,"sighup_applied":2,"sighup_rejected":1,"standing":2,"retries":3,"checks":6,"adverse_observations":2,"pending_releases":7,"unmatched_releases":9,"releases":{"cut":1,"ended":5},"attempt_ends":{"timed out":4}}"#);
     }
 }
