--- a/node/src/arena.rs
+++ b/node/src/arena.rs
@@ -12,6 +12,9 @@
 pub struct Token(u64);
 
 impl Token {
+    /// The token of no entry: its slot is never used.
+    pub const NONE: Token = Token(u32::MAX as u64);
+
     /// The token as a number, which is below 2^60.
     pub fn bits(self) -> u64 {
         self.0
--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -6,8 +6,10 @@
 //! before its caller abandons the call; each call has at most one pending attempt; the release delay passes
 //! before a call is set up again; and an exchange that is draining or gone gets no new set-up.
 
+mod handover;
 mod liveness;
 
+pub use handover::Establishment;
 pub use liveness::ConnectionRequest;
 
 use crate::arena::{Arena, Token};
@@ -149,8 +151,10 @@
     pub results: Vec<ResultCounts>,
     /// Set-ups that were written completely to exchanges.
     pub forwards: u64,
-    /// Calls that were accepted and have not ended.
+    /// Calls that were accepted and have not ended. Adopted calls are not included.
     pub outstanding: usize,
+    /// Established calls that the previous process has handed over.
+    pub adopted: usize,
     /// Exchanges in the list.
     pub discovered: usize,
     /// Exchanges in the list that the controller avoids.
@@ -184,6 +188,8 @@
     attempt: Option<AttemptToken>,
     /// How the last set-up that was sent ended.
     last_end: Option<EndReason>,
+    /// Whether another process of this controller has set it up and handed it over.
+    is_adopted: bool,
 }
 
 #[derive(Debug)]
@@ -314,10 +320,12 @@
 
     /// The statistics for operators.
     pub fn stats(&self) -> Stats {
+        let adopted = self.calls.iter().filter(|(_, c)| c.is_adopted).count();
         Stats {
             results: self.results.clone(),
             forwards: self.forwards,
-            outstanding: self.calls.len(),
+            outstanding: self.calls.len() - adopted,
+            adopted,
             discovered: self.exchanges.values().filter(|e| e.phase != Phase::Gone).count(),
             ejected: self.controller.avoided(),
             established: self.established_calls(),
@@ -389,6 +397,7 @@
             attempts: 0,
             attempt: None,
             last_end: None,
+            is_adopted: false,
         }));
         timers.schedule(answer_by, EngineTimer::AnswerDeadline(call).into());
         let event = Event::Call(NewCall {
--- a/node/src/engine/liveness.rs
+++ b/node/src/engine/liveness.rs
@@ -100,6 +100,11 @@
         }
     }
 
+    /// Whether an exchange is known to send data first on each new connection.
+    pub fn sends_first(&self, exchange: ExchangeId) -> bool {
+        self.exchanges.get(&exchange).is_some_and(|e| e.liveness.sends_first())
+    }
+
     /// Records a sign that the process of the exchange has failed.
     pub fn record_failure_sign(
         &mut self,
@@ -146,6 +151,11 @@
         self.exchanges.get(&exchange).is_some_and(|e| e.liveness.is_suspected(incarnation))
     }
 
+    /// Whether newer connections lead to a process that is not assumed to be the same.
+    pub fn is_superseded(&self, exchange: ExchangeId, incarnation: Incarnation) -> bool {
+        self.exchanges.get(&exchange).is_some_and(|e| e.liveness.is_superseded(incarnation))
+    }
+
     /// Time since the last activity of a process.
     pub fn silent_for(&self, now: Duration, exchange: ExchangeId, incarnation: Incarnation) -> Duration {
         let exchange = self.exchanges.get(&exchange);
@@ -168,7 +178,8 @@
         self.processes_with_calls(exchange).contains(&self.group_id(exchange, incarnation))
     }
 
-    fn has_established_calls(&self, exchange: ExchangeId) -> bool {
+    /// Whether any call is established at an exchange.
+    pub fn has_established_calls(&self, exchange: ExchangeId) -> bool {
         self.attempts.iter().any(|(_, a)| a.exchange == exchange && a.is_established)
     }
 
@@ -258,11 +269,31 @@
         &mut self,
         now: Duration,
         timers: &mut TimerQueue<D>,
+    ) {
+        self.release_calls_at(now, Engine::is_suspected, timers);
+    }
+
+    /// At the end of a process that is replaced, sends the callers a release of each call at a process that
+    /// another one has superseded. The new process only knows the newest one.
+    pub fn release_superseded<D: From<EngineTimer>>(
+        &mut self,
+        now: Duration,
+        timers: &mut TimerQueue<D>,
+    ) {
+        self.release_calls_at(now, Engine::is_superseded, timers);
+    }
+
+    /// Releases the established calls at the processes that a condition selects.
+    fn release_calls_at<D: From<EngineTimer>>(
+        &mut self,
+        now: Duration,
+        is_selected: impl Fn(&Engine, ExchangeId, Incarnation) -> bool,
+        timers: &mut TimerQueue<D>,
     ) {
         let attempts: Vec<_> = self
             .attempts
             .iter()
-            .filter(|(_, a)| a.is_established && self.is_suspected(a.exchange, a.incarnation))
+            .filter(|(_, a)| a.is_established && is_selected(self, a.exchange, a.incarnation))
             .map(|(token, _)| AttemptToken(token))
             .collect();
         for attempt in attempts {
--- a/node/src/liveness.rs
+++ b/node/src/liveness.rs
@@ -198,8 +198,13 @@
 
     /// Whether a process is suspected to have failed.
     pub fn is_suspected(&self, incarnation: Incarnation) -> bool {
+        self.failure_weight > 0 || self.is_superseded(incarnation)
+    }
+
+    /// Whether newer connections lead to a process that is not assumed to be the same.
+    pub fn is_superseded(&self, incarnation: Incarnation) -> bool {
         let newer = self.index(incarnation).map_or(&self.groups[..], |i| &self.groups[i + 1..]);
-        self.failure_weight > 0 || newer.iter().any(|g| !g.is_assumed_same)
+        newer.iter().any(|g| !g.is_assumed_same)
     }
 
     /// Whether the exchange is known to close a connection in response to a close from this side.
@@ -207,6 +212,11 @@
         self.close_behavior == CloseBehavior::ClosesInResponse
     }
 
+    /// Whether the exchange is known to send data first on each new connection.
+    pub fn sends_first(&self) -> bool {
+        self.peer_sends_first
+    }
+
     /// The incarnation of the newest process. If none is known yet, a first one is created and assumed to be
     /// alive.
     pub fn newest(&mut self, now: Duration) -> Incarnation {
@@ -216,6 +226,24 @@
         }
     }
 
+    /// A call was adopted that another process of this controller has set up. Returns the incarnation that it
+    /// belongs to: the newest one, or a first one whose last activity is that seen by the other process.
+    pub fn adopt(&mut self, last_activity: Duration) -> Incarnation {
+        if let Some(group) = self.groups.last() {
+            return group.first;
+        }
+        let first = Incarnation(self.next_incarnation);
+        self.next_incarnation = self.next_incarnation.saturating_add(1);
+        self.groups.push(IncarnationGroup {
+            first,
+            connected_at: last_activity,
+            last_activity,
+            is_assumed_same: false,
+            is_interrupted: false,
+        });
+        first
+    }
+
     /// Time since the last activity of a process.
     pub fn silent_for(&self, now: Duration, incarnation: Incarnation) -> Duration {
         now.saturating_sub(self.index(incarnation).map_or(Duration::ZERO, |i| self.last_activity(i)))
--- a/node/src/net/exchanges/liveness.rs
+++ b/node/src/net/exchanges/liveness.rs
@@ -154,7 +154,7 @@
     }
 
     /// Whether any established call was set up on a connection.
-    fn has_established_calls(&self, token: Token, cx: &Context) -> bool {
+    pub(super) fn has_established_calls(&self, token: Token, cx: &Context) -> bool {
         self.attempts
             .iter()
             .any(|(attempt, sent)| sent.connection == token && cx.engine.is_answered(*attempt))
@@ -250,6 +250,7 @@
         if verb == "LOAD" && cx.now < connection.connected_at + FIRST_MESSAGE_TIMEOUT {
             cx.engine.peer_sent_first(exchange);
         }
+        self.observe_repeats(token, exchange);
         if let Some(peer) = self.peers.get_mut(&exchange) {
             peer.consecutive_failures = 0;
         }
--- a/node/src/net/exchanges/mod.rs
+++ b/node/src/net/exchanges/mod.rs
@@ -4,8 +4,10 @@
 //! on them without a request.
 
 mod liveness;
+mod repeats;
 
 use super::conn::{dial_end_reason, Conn};
+use super::handover::UnmatchedRelease;
 use super::lines::{encode_message, list_value, Message};
 use super::{Context, SourceKind, TimerEvent};
 use crate::arena::{Arena, Token};
@@ -15,6 +17,7 @@
 use crate::liveness::{FailureSign, Incarnation};
 use mio::net::TcpStream;
 use mio::Interest;
+use repeats::Repeats;
 use slateshed::{ExchangeId, Phase};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -72,6 +75,8 @@
     last_reset_at: Duration,
     /// Releases of established calls that wait for a connection, with their expiry times.
     pending_releases: Vec<(Duration, Vec<u8>)>,
+    /// Whether releases from the exchange may have been lost.
+    repeats: Repeats,
 }
 
 /// One connection to an exchange.
@@ -128,7 +133,9 @@
     /// Connections with unread data left over from the last iteration.
     unread: Vec<Token>,
     /// Number of releases received under an id that no attempt has.
-    unmatched_releases: u64,
+    unmatched_release_count: u64,
+    /// Those of the current iteration.
+    unmatched_releases: Vec<UnmatchedRelease>,
 }
 
 /// Encodes a set-up for an exchange.
@@ -149,7 +156,8 @@
             by_tag: HashMap::new(),
             connections_to_end: Vec::new(),
             unread: Vec::new(),
-            unmatched_releases: 0,
+            unmatched_release_count: 0,
+            unmatched_releases: Vec::new(),
         }
     }
 
@@ -159,8 +167,13 @@
     }
 
     /// Number of releases received under an id that no attempt has.
-    pub fn unmatched_releases(&self) -> u64 {
-        self.unmatched_releases
+    pub fn unmatched_release_count(&self) -> u64 {
+        self.unmatched_release_count
+    }
+
+    /// Takes the releases of this iteration that were received under an id that no attempt has.
+    pub fn take_unmatched_releases(&mut self) -> Vec<UnmatchedRelease> {
+        std::mem::take(&mut self.unmatched_releases)
     }
 
     /// Whether the send buffers of all established connections are empty.
@@ -190,6 +203,7 @@
             any_reset_in_use: false,
             last_reset_at: Duration::ZERO,
             pending_releases: Vec::new(),
+            repeats: Repeats::None,
         });
         peer.phase = phase;
         (peer.consecutive_failures, peer.redial_scheduled) = (0, false);
@@ -274,8 +288,9 @@
             let wants_several = peer.phase == Phase::InService && self.connected_count(exchange) > 0;
             let target_count = if wants_several { self.limits.connections_per_exchange() } else { 1 };
             let target_count = target_count + usize::from(peer.pending_check.is_some());
+            let has_enough = peer.connections.len() >= target_count;
             if peer.redial_scheduled
-                || peer.connections.len() >= target_count
+                || has_enough && !self.needs_connection_for_repeats(exchange, cx)
                 || self.dial(exchange, cx).is_none()
             {
                 return;
@@ -605,7 +620,7 @@
             return;
         };
         let exchange = connection.exchange;
-        connection.connected_at = cx.now;
+        let dialled_at = std::mem::replace(&mut connection.connected_at, cx.now);
         connection.incarnation = Some(cx.engine.connected(cx.now, exchange));
         if let Some(peer) = self.peers.get_mut(&exchange) {
             for (deadline, release) in std::mem::take(&mut peer.pending_releases) {
@@ -615,6 +630,7 @@
             }
         }
         self.complete_check(token, exchange, cx);
+        self.expect_repeats(token, dialled_at, cx);
         self.ensure_connections(exchange, cx);
     }
 
@@ -711,13 +727,17 @@
                 self.close_if_drained(token, cx);
             }
             ("FINISH", None) => {
-                self.unmatched_releases += 1;
-                let name = cx.engine.exchange_name(exchange);
+                self.unmatched_release_count += 1;
+                let name = cx.engine.exchange_name(exchange).to_owned();
                 cx.log.line(
                     cx.now,
                     "release-unmatched",
                     format_args!("call={} exchange={name}", message.tag),
                 );
+                let is_normal = message.rc == Some(16);
+                let cause = if is_normal { ReleaseCause::Normal } else { ReleaseCause::Dropped };
+                let release = UnmatchedRelease { tag: message.tag, exchange: name, cause };
+                self.unmatched_releases.push(release);
             }
             ("STARTED", None) => {}
             ("PENDING" | "FINISHED" | "LOAD" | "ECHOED", _) => {}
--- /dev/null
+++ b/node/src/net/handover.rs
@@ -0,0 +1,468 @@
+//! Handover of established calls to the process that replaces this one.
+//!
+//! The old process appends records to a file in the directory for temporary files, which both processes share;
+//! the new process polls that file until the old one has ended. From its handover on, a call belongs to the new
+//! process: the old one still receives its release on the connections to the exchange and passes it on. In the
+//! other direction, the new process returns the releases of callers that are connected to the old one only.
+
+use super::clients::Clients;
+use super::exchanges::Exchanges;
+use super::lines::decode_json;
+use super::{Context, TimerEvent};
+use crate::engine::ReleaseCause;
+use slateshed_settings as read;
+use std::collections::{HashMap, HashSet};
+use std::fs::{File, OpenOptions};
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::IpAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+use tinyjson::JsonValue;
+
+/// Interval at which new records are read.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Maximum bytes that are read in one iteration of the event loop. The rest is read in the next iteration.
+const MAX_READ_BYTES: u64 = 256 * 1024;
+
+/// One record of the handover file.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Record {
+    /// An established call that the new process adopts.
+    Call(EstablishedCall),
+    /// A call has ended, and its caller is owed a release.
+    Release(Release),
+    /// An exchange has released a call that the writing process does not know.
+    UnmatchedRelease(UnmatchedRelease),
+    /// A call has ended, and nobody is owed a release.
+    Forget {
+        /// The caller's id of the call.
+        tag: String,
+    },
+}
+
+/// An established call.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EstablishedCall {
+    /// The caller's id of the call.
+    pub tag: String,
+    /// The host of the caller.
+    pub host: IpAddr,
+    /// The name of the exchange.
+    pub exchange: String,
+    /// When it was established, as Unix time.
+    pub answered_at: Duration,
+    /// Time of the last activity of the exchange's process, as Unix time.
+    pub last_activity: Duration,
+}
+
+/// A release towards a caller.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Release {
+    /// The caller's id of the call.
+    pub tag: String,
+    /// The host of the caller.
+    pub host: IpAddr,
+    /// Why the call was released.
+    pub cause: ReleaseCause,
+}
+
+/// A release from an exchange under an id that no call of the process has.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UnmatchedRelease {
+    /// The caller's id of the call.
+    pub tag: String,
+    /// The name of the exchange.
+    pub exchange: String,
+    /// Why the call was released.
+    pub cause: ReleaseCause,
+}
+
+fn parse_cause(root: &JsonValue) -> Result<ReleaseCause, String> {
+    match read::text(root, "cause")? {
+        "normal" => Ok(ReleaseCause::Normal),
+        "dropped" => Ok(ReleaseCause::Dropped),
+        other => Err(format!("cause: {other} is unknown")),
+    }
+}
+
+fn cause_name(cause: ReleaseCause) -> &'static str {
+    match cause {
+        ReleaseCause::Normal => "normal",
+        ReleaseCause::Dropped => "dropped",
+    }
+}
+
+impl Record {
+    /// Encodes the record as a line of JSON.
+    fn encode(&self) -> String {
+        let text = |value: &str| JsonValue::String(value.to_owned());
+        let millis = |time: Duration| JsonValue::Number(time.as_millis() as f64);
+        let fields = match self {
+            Record::Call(call) => vec![
+                ("type", text("call")),
+                ("tag", text(&call.tag)),
+                ("host", text(&call.host.to_string())),
+                ("exchange", text(&call.exchange)),
+                ("answered_ms", millis(call.answered_at)),
+                ("last_activity_ms", millis(call.last_activity)),
+            ],
+            Record::Release(release) => vec![
+                ("type", text("release")),
+                ("tag", text(&release.tag)),
+                ("host", text(&release.host.to_string())),
+                ("cause", text(cause_name(release.cause))),
+            ],
+            Record::UnmatchedRelease(release) => vec![
+                ("type", text("unmatched_release")),
+                ("tag", text(&release.tag)),
+                ("exchange", text(&release.exchange)),
+                ("cause", text(cause_name(release.cause))),
+            ],
+            Record::Forget { tag } => vec![("type", text("forget")), ("tag", text(tag))],
+        };
+        let fields: HashMap<_, _> = fields.into_iter().map(|(k, v)| (k.to_owned(), v)).collect();
+        // Only numbers that are not finite fail to serialize, and there are none.
+        let mut line = JsonValue::Object(fields).stringify().unwrap_or_default();
+        line.push('\n');
+        line
+    }
+
+    /// Parses a line; the error names the invalid field.
+    fn parse(line: &[u8]) -> Result<Self, String> {
+        let root = decode_json(line).map_err(|e| e.to_string())?;
+        let tag = || read::text(&root, "tag").map(str::to_owned);
+        let host = || {
+            let address = read::text(&root, "host")?.parse::<IpAddr>();
+            address.map_err(|_| "host is not an address".to_owned())
+        };
+        match read::text(&root, "type")? {
+            "call" => Ok(Record::Call(EstablishedCall {
+                tag: tag()?,
+                host: host()?,
+                exchange: read::text(&root, "exchange")?.to_owned(),
+                answered_at: read::millis(&root, "answered_ms")?,
+                last_activity: read::millis(&root, "last_activity_ms")?,
+            })),
+            "release" => {
+                let cause = parse_cause(&root)?;
+                Ok(Record::Release(Release { tag: tag()?, host: host()?, cause }))
+            }
+            "unmatched_release" => {
+                let exchange = read::text(&root, "exchange")?.to_owned();
+                let cause = parse_cause(&root)?;
+                Ok(Record::UnmatchedRelease(UnmatchedRelease { tag: tag()?, exchange, cause }))
+            }
+            "forget" => Ok(Record::Forget { tag: tag()? }),
+            other => Err(format!("type: {other} is unknown")),
+        }
+    }
+}
+
+/// The writing end of a handover file.
+#[derive(Debug)]
+pub struct HandoverWriter {
+    path: PathBuf,
+    file: File,
+}
+
+impl HandoverWriter {
+    /// Opens the handover file, and creates it if it does not exist.
+    pub fn open(path: PathBuf) -> io::Result<Self> {
+        let file = OpenOptions::new().create(true).append(true).open(&path)?;
+        Ok(HandoverWriter { path, file })
+    }
+
+    /// Removes the file. If that fails, the file only takes up space.
+    pub fn remove(self) {
+        let _ = std::fs::remove_file(self.path);
+    }
+
+    /// Appends a record.
+    pub fn write(&mut self, record: &Record) -> io::Result<()> {
+        self.file.write_all(record.encode().as_bytes())
+    }
+}
+
+/// The reading end of a handover file.
+#[derive(Debug)]
+pub struct HandoverReader {
+    path: PathBuf,
+    /// The id of the process that writes the records.
+    writer: u32,
+    /// The file, once the other process has created it.
+    file: Option<File>,
+    /// Bytes of a record that is partially read.
+    partial_record: Vec<u8>,
+    /// Whether the other process has ended and all its records are read.
+    is_complete: bool,
+}
+
+impl HandoverReader {
+    /// Creates the reader of the records of a process.
+    pub fn new(path: PathBuf, writer: u32) -> Self {
+        HandoverReader { path, writer, file: None, partial_record: Vec::new(), is_complete: false }
+    }
+
+    /// Reads and parses the new records. If the file cannot be read, the handover is complete.
+    fn poll(&mut self, cx: &mut Context) -> Vec<Record> {
+        let lines = self.read_lines().unwrap_or_else(|e| {
+            cx.log.line(cx.now, "handover-failed", format_args!("{}: {e}", self.path.display()));
+            self.is_complete = true;
+            Vec::new()
+        });
+        let mut records = Vec::new();
+        for line in lines {
+            match Record::parse(&line) {
+                Ok(record) => records.push(record),
+                Err(e) => cx.log.line(cx.now, "handover-malformed", e),
+            }
+        }
+        records
+    }
+
+    /// Reads the complete lines that the other process has appended since the last call.
+    fn read_lines(&mut self) -> io::Result<Vec<Vec<u8>>> {
+        // Checked before the read: what a process has written before its end is then read below.
+        let is_writer_running = is_running(self.writer);
+        if self.file.is_none() {
+            match File::open(&self.path) {
+                Ok(file) => self.file = Some(file),
+                Err(e) if e.kind() == ErrorKind::NotFound => {}
+                Err(e) => return Err(e),
+            }
+        }
+        let read_bytes = match &mut self.file {
+            Some(file) => file.take(MAX_READ_BYTES).read_to_end(&mut self.partial_record)?,
+            None => 0,
+        };
+        self.is_complete = read_bytes == 0 && !is_writer_running;
+        let complete_bytes =
+            self.partial_record.iter().rposition(|b| *b == b'\n').map_or(0, |end| end + 1);
+        let complete: Vec<u8> = self.partial_record.drain(..complete_bytes).collect();
+        Ok(complete.split(|b| *b == b'\n').filter(|l| !l.is_empty()).map(<[u8]>::to_vec).collect())
+    }
+}
+
+/// Reads what the processes that this one replaces, or that replace this one, hand over.
+#[derive(Debug, Default)]
+pub struct Handover {
+    from_predecessor: Option<HandoverReader>,
+    from_successor: Option<HandoverReader>,
+    /// Ids of the calls that were adopted, including those that have been released since.
+    adopted: HashSet<String>,
+    is_poll_scheduled: bool,
+}
+
+impl Handover {
+    /// Starts to read the records of the process that this one replaces.
+    pub fn follow_predecessor(&mut self, reader: HandoverReader, cx: &mut Context) {
+        self.from_predecessor = Some(reader);
+        self.schedule_poll(cx);
+    }
+
+    /// Starts to read the records of the process that replaces this one. Those that it has written before the
+    /// handover concern none of the calls that are handed over.
+    pub fn follow_successor(&mut self, mut reader: HandoverReader, cx: &mut Context) {
+        reader.poll(cx);
+        self.from_successor = Some(reader);
+        self.schedule_poll(cx);
+    }
+
+    /// Whether all calls of the process that this one replaces have been received.
+    pub fn is_received(&self) -> bool {
+        self.from_predecessor.is_none()
+    }
+
+    fn schedule_poll(&mut self, cx: &mut Context) {
+        if !self.is_poll_scheduled {
+            self.is_poll_scheduled = true;
+            cx.timers.schedule(cx.now + POLL_INTERVAL, TimerEvent::HandoverPoll);
+        }
+    }
+
+    /// Reads and applies new records, and schedules the next poll while records may follow.
+    pub fn poll(&mut self, clients: &mut Clients, exchanges: &mut Exchanges, cx: &mut Context) {
+        self.is_poll_scheduled = false;
+        if let Some(mut reader) = self.from_predecessor.take() {
+            for record in reader.poll(cx) {
+                self.apply_from_predecessor(record, clients, exchanges, cx);
+            }
+            if reader.is_complete {
+                self.complete(&reader, clients, exchanges, cx);
+            } else {
+                self.from_predecessor = Some(reader);
+            }
+        }
+        if let Some(mut reader) = self.from_successor.take() {
+            for record in reader.poll(cx) {
+                apply_from_successor(record, clients, cx);
+            }
+            self.from_successor = Some(reader).filter(|r| !r.is_complete);
+        }
+        if self.from_predecessor.is_some() || self.from_successor.is_some() {
+            self.schedule_poll(cx);
+        }
+    }
+
+    /// Ends the handover from a process that has ended.
+    fn complete(
+        &self,
+        reader: &HandoverReader,
+        clients: &mut Clients,
+        exchanges: &mut Exchanges,
+        cx: &mut Context,
+    ) {
+        // If a file cannot be removed, it only takes up space.
+        let _ = std::fs::remove_file(&reader.path);
+        clients.end_return();
+        cx.log.line(cx.now, "handover-complete", format_args!("{} calls adopted", self.adopted.len()));
+        // A release that was in flight on a connection of the old process is lost.
+        exchanges.request_repeats_for_adopted_calls(cx);
+    }
+
+    fn apply_from_predecessor(
+        &mut self,
+        record: Record,
+        clients: &mut Clients,
+        exchanges: &mut Exchanges,
+        cx: &mut Context,
+    ) {
+        match record {
+            Record::Call(call) => {
+                let tag = call.tag.clone();
+                if adopt(call, clients, exchanges, cx) {
+                    self.adopted.insert(tag);
+                }
+            }
+            Record::Release(release) => match clients.call_by_tag(&release.tag) {
+                Some(call) => cx.engine.released_elsewhere(cx.now, call, release.cause, cx.timers),
+                // An adopted call that is no longer known has been released here already.
+                None if self.adopted.contains(&release.tag) => {}
+                None => clients.forward_release(release, cx),
+            },
+            Record::UnmatchedRelease(release) => apply_unmatched_release(&release, clients, cx),
+            Record::Forget { tag } => {
+                self.adopted.remove(&tag);
+                if let Some(call) = clients.call_by_tag(&tag) {
+                    clients.forget_call(call, cx);
+                    cx.engine.forget_adopted_call(cx.now, call, cx.timers);
+                }
+            }
+        }
+    }
+}
+
+/// Applies a release that an exchange has sent to the other process, if the call is established here.
+fn apply_unmatched_release(release: &UnmatchedRelease, clients: &Clients, cx: &mut Context) {
+    let Some(call) = clients.call_by_tag(&release.tag) else {
+        return;
+    };
+    if cx.engine.establishment(cx.now, call).is_some_and(|e| e.exchange == release.exchange) {
+        cx.engine.released_elsewhere(cx.now, call, release.cause, cx.timers);
+    }
+}
+
+/// Applies a record of the process that replaces this one: a release whose caller is not connected there, but
+/// may still be connected here, or one that is unknown there.
+fn apply_from_successor(record: Record, clients: &mut Clients, cx: &mut Context) {
+    let release = match record {
+        Record::Release(release) => release,
+        Record::UnmatchedRelease(release) => return apply_unmatched_release(&release, clients, cx),
+        Record::Call(_) | Record::Forget { .. } => return,
+    };
+    if !clients.is_caller_connected(release.host) {
+        return clients.return_release(&Record::Release(release), cx);
+    }
+    match clients.call_by_tag(&release.tag) {
+        Some(call) => cx.engine.released_elsewhere(cx.now, call, release.cause, cx.timers),
+        None => clients.forward_release(release, cx),
+    }
+}
+
+/// Adopts a call, if its exchange is in the list and is reached over the platform's lines. Otherwise only the
+/// old process can receive its release. Returns whether the call was adopted.
+fn adopt(
+    call: EstablishedCall,
+    clients: &mut Clients,
+    exchanges: &mut Exchanges,
+    cx: &mut Context,
+) -> bool {
+    let exchange = cx.engine.exchange_id(&call.exchange).filter(|e| exchanges.is_known(*e));
+    let exchange = exchange.filter(|_| clients.call_by_tag(&call.tag).is_none());
+    let times = (call.answered_at, call.last_activity);
+    let adopted =
+        exchange.and_then(|e| cx.engine.adopt_call(cx.now, &call.tag, e, times, cx.timers).zip(Some(e)));
+    let Some(((token, attempt), exchange)) = adopted else {
+        let reason = format_args!("call={} exchange={}", call.tag, call.exchange);
+        cx.log.line(cx.now, "call-not-adopted", reason);
+        return false;
+    };
+    exchanges.adopt_attempt(attempt, exchange, &call.tag, cx.now);
+    clients.adopt_call(token, call.tag, call.host, cx);
+    true
+}
+
+/// Whether a process has not ended. One that has ended and whose parent has not collected its status counts as
+/// ended.
+pub fn is_running(process_id: u32) -> bool {
+    let Ok(stat) = std::fs::read_to_string(format!("/proc/{process_id}/stat")) else {
+        return false;
+    };
+    // The state follows the name of the program, which is in parentheses and may contain any character.
+    let state = stat.rsplit_once(')').and_then(|(_, rest)| rest.trim_start().chars().next());
+    !matches!(state, Some('Z' | 'X'))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against records that the new process reads differently from what the old one has written.
+    #[test]
+    fn an_encoded_record_parses_to_the_same_record() {
+        let (tag, host) = ("9b1f03aa5c7e2d41".to_owned(), IpAddr::from([127, 0, 0, 1]));
+        let time = Duration::from_millis;
+        let records = [
+            Record::Call(EstablishedCall {
+                tag: tag.clone(),
+                host,
+                exchange: "s \"one\"".to_owned(),
+                answered_at: time(1_796_000_000_123),
+                last_activity: time(1_796_000_000_456),
+            }),
+            Record::Release(Release { tag: tag.clone(), host, cause: ReleaseCause::Normal }),
+            Record::Release(Release { tag: tag.clone(), host, cause: ReleaseCause::Dropped }),
+            Record::UnmatchedRelease(UnmatchedRelease {
+                tag: tag.clone(),
+                exchange: "s-one".to_owned(),
+                cause: ReleaseCause::Normal,
+            }),
+            Record::Forget { tag },
+        ];
+        for record in records {
+            let line = record.encode();
+            assert_eq!(line.matches('\n').count(), 1, "{line}");
+            assert_eq!(Record::parse(line.trim_end().as_bytes()), Ok(record));
+        }
+        assert!(Record::parse(b"{\"type\":\"call\"}").is_err());
+    }
+
+    /// Guards against a record that is applied when only a part of it is written, or twice.
+    #[test]
+    fn only_complete_records_are_read_and_each_once() {
+        let name = format!("slateshed-handover-test-{}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        let _ = std::fs::remove_file(&path);
+        let mut reader = HandoverReader::new(path.clone(), std::process::id());
+        assert!(reader.read_lines().expect("a missing file is no error").is_empty());
+        let mut writer = HandoverWriter::open(path.clone()).expect("the file is created");
+        writer.write(&Record::Forget { tag: "a".to_owned() }).expect("the record is written");
+        writer.file.write_all(b"{\"type\":").expect("the bytes are written");
+        assert_eq!(reader.read_lines().expect("the file is read").len(), 1);
+        assert!(reader.read_lines().expect("the file is read").is_empty());
+        writer.file.write_all(b"\"forget\"}\n").expect("the bytes are written");
+        assert_eq!(reader.read_lines().expect("the file is read"), [b"{\"type\":\"forget\"}"]);
+        assert!(!reader.is_complete, "this process is still running");
+        std::fs::remove_file(&path).expect("the file is removed");
+    }
+}
--- a/node/src/net/inherited.rs
+++ b/node/src/net/inherited.rs
@@ -1,6 +1,7 @@
 //! Socket activation: the platform owns the listening socket and passes it to the process, so that a process
 //! can be replaced while clients keep connecting.
 
+use super::handover::{is_running, HandoverReader, HandoverWriter};
 use listenfd::ListenFd;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -25,20 +26,65 @@
 #[derive(Debug)]
 pub struct PidFile {
     path: PathBuf,
+    /// The process that this one replaces, if one was running.
+    predecessor: Option<u32>,
 }
 
 impl PidFile {
     /// Writes the id of this process to the file, which replaces the id of the previous process.
     pub fn claim(directory: &Path, listen: SocketAddr) -> io::Result<Self> {
         let name = format!("slateshed-{listen}.pid").replace(':', "-");
-        let pid_file = PidFile { path: directory.join(name) };
+        let mut pid_file = PidFile { path: directory.join(name), predecessor: None };
+        pid_file.predecessor = pid_file.other_running_process();
+        if let Some(predecessor) = pid_file.predecessor {
+            // A process of that id may have left a file behind. The predecessor writes its own only once it is
+            // replaced.
+            let _ = std::fs::remove_file(pid_file.handover_path(predecessor));
+            let _ = std::fs::remove_file(pid_file.return_path(predecessor));
+        }
         std::fs::write(&pid_file.path, std::process::id().to_string())?;
         Ok(pid_file)
     }
 
     /// Whether another live process has replaced this one.
     pub fn is_taken_over(&self) -> bool {
-        let pid = std::fs::read_to_string(&self.path).ok().and_then(|text| text.parse::<u32>().ok());
-        pid.is_some_and(|p| p != std::process::id() && Path::new(&format!("/proc/{p}")).exists())
+        self.other_running_process().is_some()
+    }
+
+    /// Opens the handover to the process that replaces this one.
+    pub fn handover_writer(&self) -> io::Result<HandoverWriter> {
+        HandoverWriter::open(self.handover_path(std::process::id()))
+    }
+
+    /// The handover from the process that this one replaces, if there is one.
+    pub fn handover_reader(&self) -> Option<HandoverReader> {
+        self.predecessor.map(|p| HandoverReader::new(self.handover_path(p), p))
+    }
+
+    /// The file in which releases are returned to the process that this one replaces, if there is one.
+    pub fn return_writer(&self) -> Option<io::Result<HandoverWriter>> {
+        self.predecessor.map(|p| HandoverWriter::open(self.return_path(p)))
+    }
+
+    /// The releases that the process that replaces this one returns.
+    pub fn return_reader(&self) -> Option<HandoverReader> {
+        let successor = self.other_running_process()?;
+        Some(HandoverReader::new(self.return_path(std::process::id()), successor))
+    }
+
+    /// The process in the file, if it is another one and is running.
+    fn other_running_process(&self) -> Option<u32> {
+        let pid = std::fs::read_to_string(&self.path).ok()?.parse::<u32>().ok()?;
+        Some(pid).filter(|p| *p != std::process::id() && is_running(*p))
+    }
+
+    /// The file in which a process hands over its calls.
+    fn handover_path(&self, process_id: u32) -> PathBuf {
+        self.path.with_extension(format!("{process_id}.handover"))
+    }
+
+    /// The file in which releases are returned to a process that is replaced.
+    fn return_path(&self, process_id: u32) -> PathBuf {
+        self.path.with_extension(format!("{process_id}.return"))
     }
 }
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -3,6 +3,7 @@
 pub mod clients;
 pub mod conn;
 pub mod exchanges;
+pub mod handover;
 pub mod inherited;
 pub mod journal;
 pub mod lifecycle;
@@ -18,6 +19,7 @@
 use crate::timers::TimerQueue;
 use clients::Clients;
 use exchanges::Exchanges;
+use handover::Handover;
 use inherited::PidFile;
 use journal::Journal;
 use lifecycle::Lifecycle;
@@ -105,6 +107,10 @@
     PartialMessageTimeout(Token),
     /// An exchange must have closed its side of a connection that this side closed.
     CloseTimeout(Token),
+    /// New records of the other process are read while one replaces the other.
+    HandoverPoll,
+    /// A connection that was opened for repeated releases must have received data by now.
+    RepeatsTimeout(Token),
     /// An exchange is dialled again.
     Redial(ExchangeId),
     /// The journal service is dialled again; with the generation of its connection.
@@ -219,6 +225,7 @@
         }
         None => None,
     };
+    let mut handover = Handover::default();
     let mut list_events: Vec<ListEvent> = config.known.clone();
     let mut started = false;
     loop {
@@ -236,6 +243,14 @@
         if !started {
             started = true;
             journal.dial(&mut cx);
+            if let Some(reader) = pid_file.as_ref().and_then(PidFile::handover_reader) {
+                handover.follow_predecessor(reader, &mut cx);
+            }
+            match pid_file.as_ref().and_then(PidFile::return_writer) {
+                Some(Ok(writer)) => clients.begin_return(writer),
+                Some(Err(e)) => cx.log.line(now, "handover-failed", e),
+                None => {}
+            }
             cx.log.line(now, "started", format_args!("listening on {listen}"));
             if let Some(sip) = &sip {
                 cx.log.line(now, "sip-started", format_args!("listening on {}", sip.listen_addresses()));
@@ -285,6 +300,15 @@
                             cx.engine.begin_shutdown(answer_deadline, cx.timers);
                             if cx.lifecycle.yields_listener() {
                                 clients.close_listener(&mut cx);
+                                if let Some(reader) = pid_file.as_ref().and_then(PidFile::return_reader)
+                                {
+                                    handover.follow_successor(reader, &mut cx);
+                                }
+                                match pid_file.as_ref().map(PidFile::handover_writer) {
+                                    Some(Ok(writer)) => clients.begin_handover(writer, &mut cx),
+                                    Some(Err(e)) => cx.log.line(now, "handover-failed", e),
+                                    None => {}
+                                }
                             }
                         }
                     }
@@ -300,7 +324,7 @@
                         let host_stats = HostStats {
                             reloads,
                             pending_releases: clients.pending_release_count(),
-                            unmatched_releases: exchanges.unmatched_releases(),
+                            unmatched_releases: exchanges.unmatched_release_count(),
                         };
                         let answer = execute_operator_command(command, host_stats, &mut cx);
                         operators.answer(token, &answer, &mut cx);
@@ -342,7 +366,9 @@
                     exchanges.partial_message_timeout_due(token, &mut cx)
                 }
                 TimerEvent::CloseTimeout(token) => exchanges.close_timeout_due(token, &mut cx),
+                TimerEvent::RepeatsTimeout(token) => exchanges.repeats_timeout_due(token, &mut cx),
                 TimerEvent::DialTimeout(token) => exchanges.dial_timeout_due(token, &mut cx),
+                TimerEvent::HandoverPoll => handover.poll(&mut clients, &mut exchanges, &mut cx),
                 TimerEvent::Redial(exchange) => exchanges.redial_due(exchange, &mut cx),
                 TimerEvent::JournalRedial(generation) => journal.redial_due(generation, &mut cx),
                 TimerEvent::JournalDialTimeout(generation) => {
@@ -365,7 +391,11 @@
             }
         }
         if cx.lifecycle.abandons_calls(now) {
-            cx.engine.release_suspected(now, cx.timers);
+            if clients.is_handing_over() {
+                cx.engine.release_superseded(now, cx.timers);
+            } else {
+                cx.engine.release_suspected(now, cx.timers);
+            }
         }
         if cx.lifecycle.ends_dialogs(now) && cx.engine.unanswered_calls() == 0 {
             sip.iter_mut().for_each(|s| s.end_dialogs(&mut cx));
@@ -397,6 +427,9 @@
                     None => exchanges.execute(command, &mut cx),
                 }
             }
+            for release in exchanges.take_unmatched_releases() {
+                clients.pass_on_unmatched(release, &mut cx);
+            }
             clients.end_connections(&mut cx);
             exchanges.end_connections(&mut cx);
             sip.iter_mut().for_each(|s| s.end_failed_streams(&mut cx));
@@ -410,8 +443,11 @@
         if cx.lifecycle.may_end(now) && cx.engine.unanswered_calls() == 0 {
             let sip_settled = sip.as_ref().is_none_or(Sip::is_settled);
             let operators_flushed = operators.as_ref().is_none_or(Operators::is_flushed);
-            let is_flushed =
-                clients.is_flushed() && exchanges.is_flushed() && sip_settled && operators_flushed;
+            let is_flushed = clients.is_flushed()
+                && exchanges.is_flushed()
+                && handover.is_received()
+                && sip_settled
+                && operators_flushed;
             let clients_done = !cx.lifecycle.yields_listener() || clients.is_empty();
             let calls_finished = cx.lifecycle.abandons_calls(now)
                 || cx.engine.established_calls() == 0 && !clients.has_partial_message();
--- a/node/src/stats.rs
+++ b/node/src/stats.rs
@@ -42,6 +42,7 @@
     let totals = [
         ("forwards", stats.forwards),
         ("outstanding", stats.outstanding as u64),
+        ("adopted", stats.adopted as u64),
         ("discovered", stats.discovered as u64),
         ("ejected", stats.ejected as u64),
         ("sighup_applied", host.reloads.applied),
@@ -86,6 +87,7 @@
             results,
             forwards: 14,
             outstanding: 3,
+            adopted: 6,
             discovered: 5,
             ejected: 1,
             established: 2,
@@ -99,6 +101,6 @@
         let reloads = Reloads { applied: 2, rejected: 1 };
         let host = HostStats { reloads, pending_releases: 7, unmatched_releases: 9 };
         let line = json(&stats, host, &classes);
-        insta::assert_snapshot!(line, @r#"{"results":{"voice":{"succeeded":8,"declined":2,"aborted":1},"a \"b\"\n":{"succeeded":8,"declined":2,"aborted":1}},"forwards":14,"outstanding":3,"discovered":5,"ejected":1,"sighup_applied":2,"sighup_rejected":1,"standing":2,"retries":3,"checks":6,"adverse_observations":2,"pending_releases":7,"unmatched_releases":9,"releases":{"cut":1,"ended":5},"attempt_ends":{"timed out":4}}"#);
+        insta::assert_snapshot!(line, @r#"{"results":{"voice":{"succeeded":8,"declined":2,"aborted":1},"a \"b\"\n":{"succeeded":8,"declined":2,"aborted":1}},"forwards":14,"outstanding":3,"adopted":6,"discovered":5,"ejected":1,"sighup_applied":2,"sighup_rejected":1,"standing":2,"retries":3,"checks":6,"adverse_observations":2,"pending_releases":7,"unmatched_releases":9,"releases":{"cut":1,"ended":5},"attempt_ends":{"timed out":4}}"#);
     }
 }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -256,6 +256,12 @@
         panic!("the daemon is still running")
     }
 
+    /// Kills the process and waits until it has ended.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("the process is killed");
+        self.child.wait().expect("the process has ended");
+    }
+
     /// Whether the process has not exited.
     pub fn is_running(&mut self) -> bool {
         self.child.try_wait().expect("the process status is read").is_none()
@@ -298,7 +304,17 @@
 
     /// Waits for the daemon to connect.
     pub fn accept(listener: &TcpListener) -> Self {
-        LinePeer::new(listener.accept().expect("a connection is accepted").0)
+        listener.set_nonblocking(true).expect("the listener is set to non-blocking");
+        let start = Instant::now();
+        loop {
+            match listener.accept() {
+                Ok((stream, _)) => return LinePeer::new(stream),
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+                Err(error) => panic!("no connection is accepted: {error}"),
+            }
+            assert!(start.elapsed() < WAIT_TIMEOUT, "the daemon does not connect");
+            std::thread::sleep(Duration::from_millis(1));
+        }
     }
 
     /// Sends a line.
--- /dev/null
+++ b/node/tests/handover.rs
@@ -0,0 +1,192 @@
+//! Tests of the replacement of a process: the ends of calls that the old process has established reach their
+//! callers, whichever process the exchange and the callers are connected to.
+
+mod common;
+use common::*;
+use slateshed_trials::exchange::{Behavior, FaultyExchange};
+use std::net::TcpListener;
+use std::time::{Duration, Instant};
+
+const TAG: &str = "9b1f03aa5c7e2d41";
+const OTHER_TAG: &str = "00000000000000aa";
+/// A release is forwarded to its caller within this time.
+const MAX_RELEASE_FORWARD_DELAY: Duration = Duration::from_millis(1050);
+
+/// Two processes on one inherited socket, and one exchange.
+struct Replacement {
+    old_daemon: Daemon,
+    new_daemon: Daemon,
+    exchange_listener: TcpListener,
+    /// The connection of the old process to the exchange.
+    old_exchange_connection: LinePeer,
+    /// The connection of the new process to the exchange, which stays open.
+    _new_exchange_connection: LinePeer,
+    _journal: StubJournal,
+}
+
+impl Replacement {
+    /// Starts both processes. `prepare` is called before the new process starts, with the old process and its
+    /// connection to the exchange.
+    fn start(prepare: impl FnOnce(&mut Daemon, &mut LinePeer)) -> Self {
+        let (exchange_listener, addr) = bind_listener();
+        let journal = StubJournal::new();
+        let servers =
+            [server_entry("s-own", 0, "in_service", addr), server_entry("s-one", 1, "in_service", addr)];
+        let (socket, _) = bind_listener();
+        let config = with_admin_addr(&config_json(journal.addr, &servers))
+            .replace("127.0.0.1:0\",\"seed", "127.0.0.1:1\",\"seed");
+        let mut old_daemon = Daemon::start_with_socket(&config, &socket);
+        let mut old_exchange_connection = LinePeer::accept(&exchange_listener);
+        prepare(&mut old_daemon, &mut old_exchange_connection);
+        let mut new_daemon = Daemon::start_with_socket(&config, &socket);
+        assert_eq!(new_daemon.operator_request("HEALTH"), ["done"]);
+        let new_exchange_connection = LinePeer::accept(&exchange_listener);
+        Replacement {
+            old_daemon,
+            new_daemon,
+            exchange_listener,
+            old_exchange_connection,
+            _new_exchange_connection: new_exchange_connection,
+            _journal: journal,
+        }
+    }
+
+    /// Stops the old process and waits until it has handed over its calls.
+    fn stop_old_daemon(&mut self) {
+        self.old_daemon.send_sigterm();
+        self.old_daemon.wait_for_log("handover-started");
+    }
+}
+
+fn release(tag: &str) -> String {
+    format!(r#"{{"verb":"FINISH","tag":"{tag}","opts":{{}},"rc":16}}"#)
+}
+
+/// Checks that the next line of a client is the release of a call, and comes in time.
+fn expect_release(client: &mut LinePeer, tag: &str, released_at: Instant) {
+    let received = client.receive();
+    assert!(
+        received.contains("FINISH") && received.contains(tag),
+        "not the release of {tag}: {received}"
+    );
+    let delay = released_at.elapsed();
+    assert!(delay <= MAX_RELEASE_FORWARD_DELAY, "{tag} was released after {delay:?}");
+}
+
+/// Guards against releases that the old process receives and tells nobody, as its callers are connected to the
+/// new one.
+#[test]
+fn releases_to_the_old_process_reach_callers_of_the_new_one() {
+    let mut caller = None;
+    let mut replacement = Replacement::start(|daemon, exchange| {
+        let mut client = daemon.connect_client();
+        establish_call(exchange, &mut client, TAG);
+        establish_call(exchange, &mut client, OTHER_TAG);
+        caller = Some(client);
+    });
+    replacement.stop_old_daemon();
+    assert_eq!(caller.expect("the calls are established").receive(), "", "the connection is not closed");
+    // One release comes before the caller connects to the new process, the other one after that.
+    replacement.old_exchange_connection.send(&release(TAG));
+    std::thread::sleep(Duration::from_millis(200));
+    let connected_at = Instant::now();
+    let mut client = replacement.new_daemon.connect_client();
+    expect_release(&mut client, TAG, connected_at);
+    let released_at = Instant::now();
+    replacement.old_exchange_connection.send(&release(OTHER_TAG));
+    expect_release(&mut client, OTHER_TAG, released_at);
+    assert!(replacement.old_daemon.exits_successfully());
+    assert!(replacement.new_daemon.operator_request("DUMP")[0].contains(r#""adopted":0"#));
+}
+
+/// Guards against releases that wait for a connection of their caller and end with the process that holds them.
+#[test]
+fn pending_releases_are_handed_over_to_the_new_process() {
+    let mut replacement = Replacement::start(|daemon, exchange| {
+        let mut client = daemon.connect_client();
+        establish_call(exchange, &mut client, TAG);
+        drop(client);
+        exchange.send(&release(TAG));
+        daemon.wait_for_log("release-kept");
+    });
+    replacement.stop_old_daemon();
+    assert!(replacement.old_daemon.exits_successfully());
+    let mut client = replacement.new_daemon.connect_client();
+    expect_release(&mut client, TAG, Instant::now());
+}
+
+/// Guards against calls that nobody knows once the old process has ended: releases of the exchange reach the
+/// callers through the new process, and releases of the callers reach the exchange.
+#[test]
+fn calls_of_the_old_process_are_released_by_the_new_one() {
+    let exchange = FaultyExchange::start(Behavior::PROTOCOL, 1);
+    let journal = StubJournal::new();
+    let servers = [
+        server_entry("s-own", 0, "in_service", exchange.addr),
+        server_entry("s-one", 1, "in_service", exchange.addr),
+    ];
+    let (socket, _) = bind_listener();
+    let config = with_admin_addr(&config_json(journal.addr, &servers));
+    let mut old_daemon = Daemon::start_with_socket(&config, &socket);
+    let mut client = old_daemon.connect_client();
+    for tag in [TAG, OTHER_TAG] {
+        client.send_start(tag, 3000, 1);
+        assert!(client.receive().contains("STARTED"), "{tag} is not answered");
+    }
+    let mut new_daemon = Daemon::start_with_socket(&config, &socket);
+    assert_eq!(new_daemon.operator_request("HEALTH"), ["done"]);
+    old_daemon.send_sigterm();
+    assert!(old_daemon.exits_successfully());
+    new_daemon.wait_for_log("handover-complete");
+    let mut client = new_daemon.connect_client();
+    client.send_start("00000000000000bb", 3000, 1);
+    assert!(client.receive().contains("STARTED"), "the call is not answered");
+    let dump = new_daemon.operator_request("DUMP").remove(0);
+    assert!(dump.contains(r#""outstanding":1,"adopted":2"#), "unexpected counts: {dump}");
+    exchange.release(TAG);
+    expect_release(&mut client, TAG, Instant::now());
+    client.send(&release(OTHER_TAG));
+    let is_released = || exchange.call(OTHER_TAG).is_some_and(|call| call.released_by_controller);
+    let start = Instant::now();
+    while !is_released() {
+        assert!(start.elapsed() < WAIT_TIMEOUT, "the exchange does not receive the release");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// Guards against a call that is established while the old process stops, and is not handed over.
+#[test]
+fn call_answered_after_sigterm_is_handed_over() {
+    let mut caller = None;
+    let mut replacement = Replacement::start(|daemon, exchange| {
+        let mut client = daemon.connect_client();
+        client.send_start(TAG, 3000, 1);
+        assert_eq!(exchange.receive_start(), TAG);
+        caller = Some(client);
+    });
+    let mut caller = caller.expect("the set-up is sent");
+    replacement.stop_old_daemon();
+    answer_call(&mut replacement.old_exchange_connection, &mut caller, TAG);
+    assert_eq!(caller.receive(), "", "the connection is not closed");
+    let mut client = replacement.new_daemon.connect_client();
+    replacement.old_exchange_connection.send(&release(TAG));
+    expect_release(&mut client, TAG, Instant::now());
+    assert!(replacement.old_daemon.exits_successfully());
+}
+
+/// Guards against releases that are lost with the connections of the old process, and that the exchange repeats
+/// on the next connection opened.
+#[test]
+fn new_process_opens_a_connection_for_repeated_releases_when_the_old_one_has_ended() {
+    let mut replacement = Replacement::start(|daemon, exchange| {
+        let mut client = daemon.connect_client();
+        establish_call(exchange, &mut client, TAG);
+    });
+    // The old process is killed before it has read the release.
+    replacement.stop_old_daemon();
+    replacement.old_daemon.kill();
+    let mut repeat_connection = LinePeer::accept(&replacement.exchange_listener);
+    let mut client = replacement.new_daemon.connect_client();
+    repeat_connection.send(&release(TAG));
+    expect_release(&mut client, TAG, Instant::now());
+}
--- a/node/tests/soak.rs
+++ b/node/tests/soak.rs
@@ -1,18 +1,21 @@
 //! Runs the seeded trials for a few seeds. The `slateshed-trials` program runs more seeds on request.
 
-use slateshed_trials::trial::run;
+use slateshed_trials::plan::Scenario;
+use slateshed_trials::trial::{run, Outcome};
+use std::ops::RangeInclusive;
 use std::path::Path;
 
 /// Together these seeds produce every kind of fault, and callers with every deadline.
-const SEEDS: std::ops::RangeInclusive<u64> = 1..=12;
+const FAULT_SEEDS: RangeInclusive<u64> = 1..=12;
+/// Together these seeds produce one and two replacements, and callers with every deadline.
+const REPLACEMENT_SEEDS: RangeInclusive<u64> = 1..=8;
 
-/// Guards, while several faults occur at the same time, against calls without an answer, releases that reach the
-/// caller late or never, calls released although their exchange is alive, and graceful shutdowns that take too long.
-#[test]
-fn rules_hold_while_exchanges_and_the_journal_service_fail() {
+/// Runs the trials of a scenario side by side, and checks that no rule is broken.
+fn run_trials(scenario: Scenario, seeds: RangeInclusive<u64>) -> Vec<Outcome> {
     let program = Path::new(env!("CARGO_BIN_EXE_slateshed"));
     let outcomes: Vec<_> = std::thread::scope(|scope| {
-        let trials: Vec<_> = SEEDS.map(|seed| scope.spawn(move || run(seed, program))).collect();
+        let trials: Vec<_> =
+            seeds.map(|seed| scope.spawn(move || run(scenario, seed, program))).collect();
         trials.into_iter().map(|t| t.join().expect("the trial does not panic")).collect()
     });
     let failed: Vec<_> = outcomes.iter().filter(|o| !o.violations.is_empty()).collect();
@@ -24,6 +27,14 @@
             .for_each(|violation| eprintln!("seed {}: {violation}", outcome.plan.seed));
     }
     assert!(failed.is_empty(), "{} of {} seeds broke a rule", failed.len(), outcomes.len());
+    outcomes
+}
+
+/// Guards, while several faults occur at the same time, against calls without an answer, releases that reach the
+/// caller late or never, calls released although their exchange is alive, and graceful shutdowns that take too long.
+#[test]
+fn rules_hold_while_exchanges_and_the_journal_service_fail() {
+    let outcomes = run_trials(Scenario::Faults, FAULT_SEEDS);
     let established: usize = outcomes.iter().map(|o| o.counts.established).sum();
     let without_release: usize = outcomes.iter().map(|o| o.counts.without_release).sum();
     assert!(
@@ -31,3 +42,11 @@
         "the trials cover too few calls: {established} established, {without_release} without a release"
     );
 }
+
+/// Guards against releases that reach the caller late or never while one or two processes are replaced.
+#[test]
+fn rules_hold_while_the_process_is_replaced() {
+    let outcomes = run_trials(Scenario::Replacement, REPLACEMENT_SEEDS);
+    let ends_reported: usize = outcomes.iter().map(|o| o.counts.ends_reported).sum();
+    assert!(ends_reported > 1000, "the trials cover too few calls: {ends_reported} ends reported");
+}
--- a/trials/src/daemon.rs
+++ b/trials/src/daemon.rs
@@ -1,7 +1,8 @@
 //! Runs the daemon as a child process: writes its configuration, sends it signals and reads its log.
 
 use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -9,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 const START_TIMEOUT: Duration = Duration::from_secs(10);
+const POLL_INTERVAL: Duration = Duration::from_millis(2);
 
 /// An entry of the list of exchanges, as JSON.
 pub fn server_json(cell: usize, state: &str, addr: SocketAddr) -> String {
@@ -50,6 +52,28 @@
 impl Daemon {
     /// Starts the program at a path with a configuration.
     pub fn start(program: &Path, config: &str) -> Self {
+        let mut command = Command::new(program);
+        command.stdin(Stdio::null());
+        Self::spawn(command, config, None)
+    }
+
+    /// Starts the program on a listening socket for clients that it inherits. Processes that replace each other share
+    /// the directory for temporary files.
+    pub fn start_on_socket(
+        program: &Path,
+        config: &str,
+        socket: &TcpListener,
+        shared_dir: &Path,
+    ) -> Self {
+        let mut command = Command::new("/bin/sh");
+        command
+            .args(["-c", "exec 7<&0 </dev/null; export ROUTER_SOCKET_FD=7; exec \"$0\""])
+            .arg(program);
+        command.stdin(OwnedFd::from(socket.try_clone().expect("the socket can be cloned")));
+        Self::spawn(command, config, Some(shared_dir))
+    }
+
+    fn spawn(mut command: Command, config: &str, shared_dir: Option<&Path>) -> Self {
         static NEXT_NUMBER: AtomicU32 = AtomicU32::new(0);
         let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
         let temp_dir =
@@ -57,9 +81,8 @@
         std::fs::create_dir_all(&temp_dir).expect("the temporary directory can be created");
         let file = temp_dir.join("config.json");
         std::fs::write(&file, config).expect("the configuration file can be written");
-        let mut command = Command::new(program);
-        command.env_clear().env("ROUTER_CONFIG", &file).env("TMPDIR", &temp_dir);
-        command.stdin(Stdio::null()).stderr(Stdio::piped());
+        command.env_clear().env("ROUTER_CONFIG", &file).env("TMPDIR", shared_dir.unwrap_or(&temp_dir));
+        command.stderr(Stdio::piped());
         let mut child = command.spawn().expect("the program can be started");
         let log = Arc::new(Mutex::new(Vec::new()));
         let (thread_log, stderr) = (Arc::clone(&log), child.stderr.take().expect("stderr is piped"));
@@ -99,6 +122,18 @@
         let _ = kill.status();
     }
 
+    /// Waits until the daemon has ended, or kills it at a time. Returns whether it exited with status 0 before that.
+    pub fn wait_or_kill(&mut self, kill_at: Instant) -> bool {
+        while Instant::now() < kill_at {
+            if let Some(succeeded) = self.poll_exit() {
+                return succeeded;
+            }
+            std::thread::sleep(POLL_INTERVAL);
+        }
+        self.signal("KILL");
+        false
+    }
+
     /// Returns whether the daemon exited with status 0, or `None` while it runs.
     pub fn poll_exit(&mut self) -> Option<bool> {
         self.child.try_wait().expect("the child can be waited for").map(|status| status.success())
--- a/trials/src/exchange.rs
+++ b/trials/src/exchange.rs
@@ -103,6 +103,8 @@
     pub process: u32,
     connection_id: u64,
     scheduled_end: Option<Instant>,
+    /// Whether its release was lost with a connection.
+    is_release_lost: bool,
 }
 
 /// A period in which the exchange did not serve.
@@ -272,6 +274,12 @@
         self.state().reset_connections();
     }
 
+    /// Ends up to `max_calls` calls that were set up on one connection and resets it: their releases are lost with it.
+    /// The exchange repeats them on the next connection.
+    pub fn lose_releases(&self, max_calls: usize) {
+        self.state().lose_releases(max_calls);
+    }
+
     /// Changes the behavior of the exchange.
     pub fn set_behavior(&self, behavior: Behavior) {
         self.state().behavior = behavior;
@@ -382,6 +390,33 @@
         }
     }
 
+    fn lose_releases(&mut self, max_calls: usize) {
+        if self.mode != Mode::Serving {
+            return;
+        }
+        let process = self.process;
+        let established_on = |id: u64, c: &CallRecord| {
+            c.process == process && c.connection_id == id && c.ended_at.is_none()
+        };
+        let call_count = |id| self.calls.values().filter(|c| established_on(id, c)).count();
+        let open = self.connections.iter().filter(|c| c.process == process && !c.peer_closed);
+        let Some(id) = open.map(|c| c.id).max_by_key(|id| call_count(*id)) else {
+            return;
+        };
+        let calls = self.calls.iter_mut().filter(|(_, c)| established_on(id, c));
+        for (tag, call) in calls.take(max_calls) {
+            call.ended_at = Some(Instant::now());
+            call.is_release_lost = true;
+            self.releases_to_repeat.push(tag.clone());
+        }
+        self.connections.retain(|c| {
+            if c.id == id {
+                let _ = SockRef::from(&c.stream).set_linger(Some(Duration::ZERO));
+            }
+            c.id != id
+        });
+    }
+
     /// Ends all calls of the process without sending their releases.
     fn end_all_calls(&mut self, now: Instant) {
         for call in self.calls.values_mut().filter(|c| c.ended_at.is_none()) {
@@ -503,6 +538,7 @@
                     process: self.process,
                     connection_id,
                     scheduled_end: hold.map(|h| now + h),
+                    is_release_lost: false,
                 };
                 self.calls.insert(message.tag.clone(), record);
                 self.answer_set_up(connection_id, &message.tag);
@@ -556,6 +592,7 @@
                 && c.ended_at.is_some()
                 && c.released_at.is_none()
                 && !c.released_by_controller
+                && !c.is_release_lost
         };
         let unreleased: Vec<_> =
             self.calls.iter().filter(|(_, c)| is_unreleased(c)).map(|(t, _)| t.clone()).collect();
--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -1,6 +1,7 @@
 //! Runs the trials of a range of seeds and prints a report of each one.
 
 use clap::Parser;
+use slateshed_trials::plan::Scenario;
 use slateshed_trials::trial::{run, Outcome};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -11,6 +12,9 @@
 #[derive(Debug, Parser)]
 #[command(version)]
 struct Arguments {
+    /// What the trials exercise.
+    #[arg(long, value_enum, default_value_t)]
+    scenario: Scenario,
     /// The first seed.
     #[arg(long, default_value_t = 1)]
     first: u64,
@@ -39,7 +43,7 @@
                 if seed >= end_seed {
                     return;
                 }
-                let outcome = run(seed, &arguments.program);
+                let outcome = run(arguments.scenario, seed, &arguments.program);
                 report(&outcome, arguments.verbose);
                 if !outcome.violations.is_empty() {
                     failed_seeds.lock().expect("no thread panicked while holding the lock").push(seed);
--- a/trials/src/plan.rs
+++ b/trials/src/plan.rs
@@ -1,6 +1,7 @@
 //! The fault plan of a trial, drawn from its seed.
 
 use crate::exchange::{Behavior, IdlePolicy};
+use clap::ValueEnum;
 use fastrand::Rng;
 use std::time::Duration;
 
@@ -14,6 +15,18 @@
 /// report the end of every call that a fault ended.
 const FULL_LENGTH_MS: u64 = 14_500;
 
+/// What the trials of a range of seeds exercise.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, ValueEnum)]
+pub enum Scenario {
+    /// Exchanges and the journal service fail.
+    #[default]
+    Faults,
+    /// The controller's process is replaced while calls are established.
+    Replacement,
+    /// Releases are lost with connections of exchanges, most of which drain.
+    LostReleases,
+}
+
 /// A fault that a trial injects, or the recovery from one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -33,6 +46,10 @@
     Restart(usize),
     /// All connections to an exchange are reset.
     ResetConnections(usize),
+    /// Releases of an exchange are lost with a connection that is reset.
+    LoseReleases(usize),
+    /// Another process of the controller is started and replaces the current one.
+    ReplaceController,
     /// The list announces that an exchange drains.
     Drain(usize),
     /// The journal service closes its open connections and every new one.
@@ -50,6 +67,8 @@
 pub struct Plan {
     /// The seed that the plan is drawn from.
     pub seed: u64,
+    /// What the trial exercises.
+    pub scenario: Scenario,
     /// The number of file descriptors that the controller may use.
     pub max_descriptors: u32,
     /// The longest time that a caller waits for an answer.
@@ -73,8 +92,41 @@
 }
 
 impl Plan {
-    /// Draws the plan of a seed.
-    pub fn draw(seed: u64) -> Self {
+    /// Draws the plan of a seed. The seeds of each scenario have plans of their own.
+    pub fn draw(scenario: Scenario, seed: u64) -> Self {
+        match scenario {
+            Scenario::Faults => Self::draw_faults(seed),
+            Scenario::Replacement => Self::draw_calm(scenario, seed, draw_replacements),
+            Scenario::LostReleases => Self::draw_calm(scenario, seed, draw_lost_releases),
+        }
+    }
+
+    /// Draws a plan of full length whose faults come from one function.
+    fn draw_calm(
+        scenario: Scenario,
+        seed: u64,
+        draw_faults: fn(&mut Rng) -> Vec<(Duration, Fault)>,
+    ) -> Self {
+        let mut generator = Rng::with_seed(seed);
+        let rng = &mut generator;
+        let exchange_behaviors = (0..EXCHANGE_COUNT).map(|_| draw_behavior(rng)).collect();
+        let mut faults = draw_faults(rng);
+        faults.sort_by_key(|(at, _)| *at);
+        Plan {
+            seed,
+            scenario,
+            max_descriptors: *pick(rng, &[256, 1024]),
+            deadline: ms(*pick(rng, &[400, 1000, 3000, 9000])),
+            exchange_behaviors,
+            caller_count: rng.usize(2..5),
+            idle_connection_count: 0,
+            faults,
+            stop_at: ms(FULL_LENGTH_MS),
+            has_extra_stop_signals: false,
+        }
+    }
+
+    fn draw_faults(seed: u64) -> Self {
         let mut generator = Rng::with_seed(seed);
         let rng = &mut generator;
         let exchange_behaviors = (0..EXCHANGE_COUNT).map(|_| draw_behavior(rng)).collect();
@@ -88,6 +140,7 @@
         let stop_at = if rng.u8(0..3) == 0 { rng.u64(4000..11_000) } else { FULL_LENGTH_MS };
         Plan {
             seed,
+            scenario: Scenario::Faults,
             max_descriptors: *pick(rng, &[127, 256, 1024]),
             deadline: ms(*pick(rng, &[400, 1000, 3000, 9000])),
             exchange_behaviors,
@@ -162,3 +215,37 @@
         _ => vec![(from, fault), (to, Fault::JournalUp)],
     }
 }
+
+/// Draws one or two replacements of the controller's process, and at most one fault of each exchange.
+fn draw_replacements(rng: &mut Rng) -> Vec<(Duration, Fault)> {
+    let first = rng.u64(FIRST_FAULT_FROM_MS..FIRST_FAULT_UNTIL_MS);
+    let mut faults = vec![(ms(first), Fault::ReplaceController)];
+    if rng.bool() {
+        faults.push((ms(first + rng.u64(1000..4000)), Fault::ReplaceController));
+    }
+    for i in 0..EXCHANGE_COUNT {
+        let at = ms(first + rng.u64(0..2000));
+        match rng.u8(0..8) {
+            0 => faults.push((at, Fault::LoseHost(i))),
+            1 => faults.push((at, Fault::Drain(i))),
+            2 => faults.push((at, Fault::ResetConnections(i))),
+            3 => faults.push((at, Fault::LoseReleases(i))),
+            _ => {}
+        }
+    }
+    faults
+}
+
+/// Draws, for each exchange, the drain that most of them have and some losses of releases before and after it.
+fn draw_lost_releases(rng: &mut Rng) -> Vec<(Duration, Fault)> {
+    let mut faults = Vec::new();
+    for i in 0..EXCHANGE_COUNT {
+        let at = rng.u64(FIRST_FAULT_FROM_MS..FIRST_FAULT_UNTIL_MS);
+        if rng.u8(0..4) > 0 {
+            faults.push((ms(at), Fault::Drain(i)));
+        }
+        let losses = (0..rng.u64(1..5)).map(|_| ms(at - 500 + rng.u64(0..4000)));
+        faults.extend(losses.map(|at| (at, Fault::LoseReleases(i))));
+    }
+    faults
+}
