Keep a stopping process until releases that wait for their caller are sent

What callers saw: the end of a call came while a process without a successor was stopping and its caller had no connection; the process ended 0.8 s after SIGTERM and the caller, connecting later, met nobody who knew.

Cause: the condition for the end counted calls that stand and unwritten bytes, not releases that wait for a connection (net/mod.rs).

Measured: stopping_process_waits_for_the_caller_of_a_pending_release failed before (the caller that connects 1.5 s later is refused) and passes; the other five tests of node/tests/handover.rs pass.

--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -444,6 +444,7 @@
             let sip_settled = sip.as_ref().is_none_or(Sip::is_settled);
             let operators_flushed = operators.as_ref().is_none_or(Operators::is_flushed);
             let is_flushed = clients.is_flushed()
+                && clients.pending_release_count() == 0
                 && exchanges.is_flushed()
                 && handover.is_received()
                 && sip_settled
--- a/node/tests/handover.rs
+++ b/node/tests/handover.rs
@@ -190,3 +190,26 @@
     repeat_connection.send(&release(TAG));
     expect_release(&mut client, TAG, Instant::now());
 }
+
+/// Guards against a process that stops without a successor and ends while it holds a release for which its
+/// caller has yet to connect.
+#[test]
+fn stopping_process_waits_for_the_caller_of_a_pending_release() {
+    let (exchange_listener, addr) = bind_listener();
+    let journal = StubJournal::new();
+    let servers =
+        [server_entry("s-own", 0, "in_service", addr), server_entry("s-one", 1, "in_service", addr)];
+    let mut daemon = Daemon::start(&config_json(journal.addr, &servers), None);
+    let mut exchange = LinePeer::accept(&exchange_listener);
+    let mut client = daemon.connect_client();
+    establish_call(&mut exchange, &mut client, TAG);
+    drop(client);
+    daemon.send_sigterm();
+    daemon.wait_for_log("stopping");
+    exchange.send(&release(TAG));
+    daemon.wait_for_log("release-kept");
+    std::thread::sleep(Duration::from_millis(1500));
+    let mut client = daemon.connect_client();
+    expect_release(&mut client, TAG, Instant::now());
+    assert!(daemon.exits_successfully());
+}
