Open a connection after each loss of one while calls stand, in a drain too

Cause: an exchange repeats a lost release on the next connection opened, and ensure_connections counted only the connections that set-ups need: one in a drain, so a lost one was not followed while another was open. The same held for a connection that was being closed by a check, and the news of a drain ended a dial on which the exchange had already repeated its releases.

Dials without set-ups survive the news of a drain. A refused dial is no sign against an exchange that drains and has other connections open, as it may accept no more. Why this works: the repetition that the protocol promises needs a connection opened after the loss, and now one always is.

--- a/node/src/net/exchanges/liveness.rs
+++ b/node/src/net/exchanges/liveness.rs
@@ -10,7 +10,7 @@
 use crate::engine::ConnectionRequest;
 use crate::liveness::{FailureSign, Incarnation};
 use crate::net::{Context, TimerEvent};
-use slateshed::ExchangeId;
+use slateshed::{ExchangeId, Phase};
 use std::time::Duration;
 
 /// A connection is suspected to be dead if a set-up on it is cancelled after at least this time without any
@@ -179,7 +179,12 @@
     ) {
         let (now, exchange) = (cx.now, connection.exchange);
         let Some(incarnation) = connection.incarnation else {
-            if let Some(failure_sign) = FailureSign::from_dial(end).filter(|_| was_active) {
+            // An exchange that drains may accept no more connections and serve those that it has.
+            let is_serving = self.peers.get(&exchange).is_some_and(|p| p.phase == Phase::Draining)
+                && end == EndReason::ConnectionRefused
+                && self.connected_count(exchange) > 0;
+            let is_sign = was_active && !is_serving;
+            if let Some(failure_sign) = FailureSign::from_dial(end).filter(|_| is_sign) {
                 cx.engine.record_failure_sign(now, exchange, failure_sign);
             }
             return;
--- a/node/src/net/exchanges/mod.rs
+++ b/node/src/net/exchanges/mod.rs
@@ -212,18 +212,27 @@
         if address_changed {
             self.drain_all_connections(exchange, cx);
         }
-        if address_changed || phase != Phase::InService {
-            self.close_unconnected(exchange, cx);
+        if address_changed {
+            self.close_unconnected(exchange, |_| true, cx);
+        } else if phase != Phase::InService {
+            // One without set-ups is kept: the exchange may already have repeated lost releases on it.
+            self.close_unconnected(exchange, |c| !c.unanswered.is_empty(), cx);
         }
         self.ensure_connections(exchange, cx);
     }
 
-    /// Ends the connections to an exchange that are not established yet. Set-ups queued on one would be sent
-    /// once it is established, long after the list reported that the exchange drains or has another address.
-    fn close_unconnected(&mut self, exchange: ExchangeId, cx: &mut Context) {
+    /// Ends the selected connections to an exchange that are not established yet. Set-ups queued on one would be
+    /// sent once it is established, long after the list reported that the exchange drains or has another address.
+    fn close_unconnected(
+        &mut self,
+        exchange: ExchangeId,
+        is_selected: impl Fn(&Connection) -> bool,
+        cx: &mut Context,
+    ) {
         let unconnected =
             self.connections.iter().filter(|(_, c)| c.exchange == exchange && !c.socket.is_connected());
-        let unconnected: Vec<_> = unconnected.map(|(token, _)| token).collect();
+        let unconnected: Vec<_> =
+            unconnected.filter(|(_, c)| is_selected(c)).map(|(token, _)| token).collect();
         unconnected.into_iter().for_each(|token| self.end(token, EndReason::ClosedLocally, cx));
     }
 
@@ -237,7 +246,7 @@
     fn remove_exchange(&mut self, exchange: ExchangeId, cx: &mut Context) {
         self.drain_all_connections(exchange, cx);
         self.peers.remove(&exchange);
-        self.close_unconnected(exchange, cx);
+        self.close_unconnected(exchange, |_| true, cx);
     }
 
     /// Assigns no more set-ups to a connection, and closes it once no set-up on it is unanswered.
@@ -775,6 +784,7 @@
             );
         }
         self.observe_end(&connection, was_active, end, cx);
+        self.observe_loss(token, &connection, was_active, end, cx);
         // A failed dial indicates that the exchange is unreachable only if no other connection is established
         // and this side did not end the dial.
         let dial_failed = !connection.socket.is_connected() && end != EndReason::ClosedLocally;
@@ -793,6 +803,8 @@
             } else {
                 self.ensure_connections(exchange, cx);
             }
+        } else if self.needs_connection_for_repeats(exchange, cx) {
+            self.ensure_connections(exchange, cx);
         }
         for attempt in connection.unanswered {
             let Some(sent) = self.remove_attempt(attempt) else {
--- a/node/src/net/exchanges/repeats.rs
+++ b/node/src/net/exchanges/repeats.rs
@@ -4,8 +4,9 @@
 //! connection that is established. A release that was lost with a connection is therefore received only if
 //! another connection is opened afterwards.
 
-use super::{Exchanges, SentSetUp};
+use super::{Connection, Exchanges, SentSetUp};
 use crate::arena::Token;
+use crate::end::EndReason;
 use crate::engine::{AttemptToken, CallInfo};
 use crate::net::{Context, TimerEvent};
 use slateshed::ExchangeId;
@@ -51,6 +52,31 @@
         self.peers.get(&exchange).map_or(Repeats::None, |p| p.repeats)
     }
 
+    /// Handles the end of a connection: what the exchange had sent on it and this side had not read is lost. The
+    /// connection was active, or calls that were set up on it are established.
+    pub(super) fn observe_loss(
+        &mut self,
+        token: Token,
+        connection: &Connection,
+        was_active: bool,
+        end: EndReason,
+        cx: &mut Context,
+    ) {
+        let exchange = connection.exchange;
+        if self.repeats(exchange) == Repeats::ExpectedOn(token) {
+            return self.set_repeats(exchange, Repeats::Lost { at: cx.now });
+        }
+        let is_complete = match end {
+            EndReason::PeerClosed => !connection.socket.has_partial_line(),
+            EndReason::ClosedLocally => true,
+            _ => !connection.socket.is_connected(),
+        };
+        let carried_releases = was_active || self.has_established_calls(token, cx);
+        if !is_complete && carried_releases && cx.engine.has_established_calls(exchange) {
+            self.set_repeats(exchange, Repeats::Lost { at: cx.now });
+        }
+    }
+
     /// Whether another connection has to be dialled for the repeated releases of established calls.
     pub(super) fn needs_connection_for_repeats(&self, exchange: ExchangeId, cx: &Context) -> bool {
         let (Repeats::Lost { at }, Some(peer)) = (self.repeats(exchange), self.peers.get(&exchange))
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -304,15 +304,22 @@
 
     /// Waits for the daemon to connect.
     pub fn accept(listener: &TcpListener) -> Self {
+        Self::accept_within(listener, WAIT_TIMEOUT).expect("the daemon connects")
+    }
+
+    /// Waits for the daemon to connect, for a time.
+    pub fn accept_within(listener: &TcpListener, timeout: Duration) -> Option<Self> {
         listener.set_nonblocking(true).expect("the listener is set to non-blocking");
         let start = Instant::now();
         loop {
             match listener.accept() {
-                Ok((stream, _)) => return LinePeer::new(stream),
+                Ok((stream, _)) => return Some(LinePeer::new(stream)),
                 Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
                 Err(error) => panic!("no connection is accepted: {error}"),
             }
-            assert!(start.elapsed() < WAIT_TIMEOUT, "the daemon does not connect");
+            if start.elapsed() >= timeout {
+                return None;
+            }
             std::thread::sleep(Duration::from_millis(1));
         }
     }
--- a/node/tests/soak.rs
+++ b/node/tests/soak.rs
@@ -10,6 +10,9 @@
 /// Together these seeds produce one and two replacements, and callers with every deadline.
 const REPLACEMENT_SEEDS: RangeInclusive<u64> = 1..=8;
 
+/// Together these seeds lose releases before, during and without a drain.
+const LOST_RELEASE_SEEDS: RangeInclusive<u64> = 1..=12;
+
 /// Runs the trials of a scenario side by side, and checks that no rule is broken.
 fn run_trials(scenario: Scenario, seeds: RangeInclusive<u64>) -> Vec<Outcome> {
     let program = Path::new(env!("CARGO_BIN_EXE_slateshed"));
@@ -50,3 +53,11 @@
     let ends_reported: usize = outcomes.iter().map(|o| o.counts.ends_reported).sum();
     assert!(ends_reported > 1000, "the trials cover too few calls: {ends_reported} ends reported");
 }
+
+/// Guards against releases that are lost for good with connections that are reset, most of them in a drain.
+#[test]
+fn rules_hold_while_releases_are_lost_with_connections() {
+    let outcomes = run_trials(Scenario::LostReleases, LOST_RELEASE_SEEDS);
+    let without_release: usize = outcomes.iter().map(|o| o.counts.without_release).sum();
+    assert!(without_release > 50, "the trials cover too few calls: {without_release} without a release");
+}
