Send releases to callers, not to health checks from the same host

What callers saw: a caller whose connection had closed was not told of the end of its call where a health check from its host was connected, or connected before the caller did: the release was written there and counted as sent.

Cause: a connection from the caller's host was taken for a release whether or not it had ever sent a set-up (Clients::select_release_connection), and a new one is sent what waits for its host before its first message shows what it is. Change: connections that have sent health checks only are passed over, and what was written to one before its first check is sent again elsewhere or waits.

Measured: both tests of node/tests/releases.rs failed before (not released within 1.05 s of the caller's set-up) and pass; the tests of clients, lines, operations and handover pass.

--- a/node/src/net/clients.rs
+++ b/node/src/net/clients.rs
@@ -73,6 +73,11 @@
 }
 
 impl Client {
+    /// Whether it has sent health checks only.
+    fn is_health_check(&self) -> bool {
+        self.answered && !self.is_caller
+    }
+
     /// Whether a release sent on it may still be in flight.
     fn is_releasing(&self, now: Duration) -> bool {
         self.unconfirmed_releases.iter().any(|(at, _)| *at + UNCONFIRMED_RELEASE_TIMEOUT > now)
@@ -396,6 +401,7 @@
             "ECHO" => {
                 let passed = u32::from(cx.lifecycle.is_ready());
                 self.answer(token, &encode_message("ECHOED", &message.tag, &[], Some(passed), None));
+                self.resend_releases_of_health_check(token, cx);
                 Ok(())
             }
             "FINISHED" => {
@@ -437,6 +443,7 @@
             Err(field) => {
                 // The set-up has a valid id, so the call is answered as failed and the connection is kept.
                 cx.log.line(cx.now, "set-up-malformed", format_args!("{tag}: {field}"));
+                self.mark_as_caller(token);
                 self.answer(token, &encode_message("FINISH", &tag, &[], Some(CAUSE_FAILED), None));
                 return Ok(());
             }
@@ -684,8 +691,8 @@
         self.send_release(conn, release, cx);
     }
 
-    /// Selects the connection for a release: the connection of the call; otherwise one from the same host;
-    /// otherwise one that has confirmed another release; otherwise one that is a caller. Among equals, the
+    /// Selects the connection for a release: the connection of the call; otherwise one from the same host that is
+    /// not a health check; otherwise one that has confirmed another release; otherwise one that is a caller. Among equals, the
     /// most recently active one is selected. Other connections from other hosts are not used, because they
     /// may belong to anyone. A process that is replaced uses only connections of callers from the same host: all
     /// others can connect to the new process.
@@ -696,13 +703,24 @@
         let is_handing_over = self.is_handing_over();
         let is_usable = |c: &Client| match is_handing_over {
             true => c.is_caller && c.peer == host,
-            false => c.is_caller || c.peer == host,
+            false => c.is_caller || c.peer == host && !c.is_health_check(),
         };
         let callers = self.conns.iter().filter(|(_, c)| is_usable(c));
         let rank = |c: &Client| (c.peer == host, c.confirms_releases, c.is_caller, c.last_active_at);
         callers.max_by_key(|(_, c)| rank(c)).map(|(token, _)| token)
     }
 
+    /// Sends the releases again that were sent on a connection before it turned out to be a health check.
+    fn resend_releases_of_health_check(&mut self, token: Token, cx: &mut Context) {
+        let Some(client) = self.conns.get_mut(token).filter(|c| c.is_health_check()) else {
+            return;
+        };
+        for (_, release) in std::mem::take(&mut client.unconfirmed_releases) {
+            let conn = self.select_release_connection(Token::NONE, release.host);
+            self.send_release(conn, release, cx);
+        }
+    }
+
     /// Sends a release. Without a connection, it is passed on to the process that replaces this one, or queued
     /// for the next connection.
     fn send_release(&mut self, conn: Option<Token>, release: Release, cx: &mut Context) {
--- /dev/null
+++ b/node/tests/releases.rs
@@ -0,0 +1,57 @@
+//! Releases of callers whose connections are closed while health checks from the same host are connected.
+
+mod common;
+use common::*;
+use std::time::{Duration, Instant};
+
+const TAG: &str = "9b1f03aa5c7e2d41";
+const RELEASE: &str = r#"{"verb":"FINISH","tag":"9b1f03aa5c7e2d41","opts":{},"rc":16}"#;
+/// A caller that connects is sent the release that waits for it within this time.
+const MAX_RELEASE_FORWARD_DELAY: Duration = Duration::from_millis(1050);
+
+/// Starts the daemon with one exchange, establishes a call there, and closes the caller's connection.
+fn start_with_call_of_closed_caller() -> (Daemon, LinePeer, StubJournal) {
+    let (exchange_listener, addr) = bind_listener();
+    let journal = StubJournal::new();
+    let servers =
+        [server_entry("s-own", 0, "in_service", addr), server_entry("s-one", 1, "in_service", addr)];
+    let mut daemon = Daemon::start(&config_json(journal.addr, &servers), None);
+    let mut exchange = LinePeer::accept(&exchange_listener);
+    let mut caller = daemon.connect_client();
+    establish_call(&mut exchange, &mut caller, TAG);
+    (daemon, exchange, journal)
+}
+
+/// Checks that a new caller is sent the release, before or after the answer to its set-up.
+fn expect_release_to_new_caller(daemon: &mut Daemon, exchange: &mut LinePeer) {
+    let mut caller = daemon.connect_client();
+    let started_at = Instant::now();
+    caller.send_start("00000000000000aa", 3000, 1);
+    assert_eq!(exchange.receive_start(), "00000000000000aa");
+    while !caller.receive_within(MAX_RELEASE_FORWARD_DELAY).is_some_and(|line| line.contains(TAG)) {
+        assert!(started_at.elapsed() <= MAX_RELEASE_FORWARD_DELAY, "the call is not released");
+    }
+}
+
+/// Guards against a release that counts as sent because a health check connected before the caller did.
+#[test]
+fn release_sent_to_a_health_check_is_sent_again_to_the_caller() {
+    let (mut daemon, mut exchange, _journal) = start_with_call_of_closed_caller();
+    exchange.send(RELEASE);
+    daemon.wait_for_log("release-kept");
+    let mut health_check = daemon.connect_client();
+    health_check.send(r#"{"verb":"ECHO","tag":"e","opts":{},"rc":0}"#);
+    while !health_check.receive().contains("ECHOED") {}
+    expect_release_to_new_caller(&mut daemon, &mut exchange);
+}
+
+/// Guards against a release that is sent to a health check, as no other connection from the caller's host is open.
+#[test]
+fn release_waits_for_the_caller_while_only_a_health_check_is_connected() {
+    let (mut daemon, mut exchange, _journal) = start_with_call_of_closed_caller();
+    let mut health_check = daemon.connect_client();
+    assert!(health_check.is_ready());
+    exchange.send(RELEASE);
+    daemon.wait_for_log("call-released");
+    expect_release_to_new_caller(&mut daemon, &mut exchange);
+}
