Send a SIP request again on another connection when its stream ends unanswered

What callers saw: the BYE of a call to a caller over TCP was written to a stream that then ended; no response came and it was never sent again, so the caller was not told.

Cause: over TCP a transaction sends its request once and waits for 64 times T1; the end of the stream touched calls that were not answered yet and nothing else. Change: a request other than INVITE without a final response is sent once more when the connection that carried it ends, to the same address, which the dialog takes from Contact.

Measured: bye_lost_with_the_stream_is_sent_again_on_another_one failed before (no connection within 20 s) and passes; the 24 tests of the SIP front and the 9 of the transactions pass.

--- a/node/src/net/sip/mod.rs
+++ b/node/src/net/sip/mod.rs
@@ -295,6 +295,7 @@
             cx.log.line(cx.now, "sip-stream-ended", format_args!("{peer}: {end_reason}"));
         }
         self.transport.close(stream_token, cx);
+        self.transactions.connection_ended(stream_token, &mut self.pending_output);
         let is_pending_on_stream =
             |leg: &Leg| leg.state == LegState::Pending && leg.dialog.next_hop.conn == Some(stream_token);
         let ended_legs: Vec<_> = self
@@ -312,6 +313,7 @@
                 }
             }
         }
+        self.process_output(cx);
     }
 
     /// Handles a received message. Blank ones are keep-alives and are ignored.
@@ -358,6 +360,7 @@
                     Output::Send(transaction, target, bytes) => {
                         match self.transport.send(target, &bytes, cx) {
                             Ok(conn) => {
+                                self.transactions.record_connection(transaction, conn);
                                 if let Some(leg_token) = self.legs_by_invite.get(&transaction).copied() {
                                     if let Some(leg) = self.legs.get_mut(leg_token) {
                                         leg.dialog.next_hop.conn = conn.or(leg.dialog.next_hop.conn);
--- a/node/src/net/sip/transaction.rs
+++ b/node/src/net/sip/transaction.rs
@@ -134,6 +134,8 @@
     /// The last message sent, for retransmission. Empty in a server transaction before its first response.
     last_message: Rc<[u8]>,
     retransmit_interval: Duration,
+    /// Whether a request was sent again because its connection ended.
+    was_resent: bool,
     /// The TU has abandoned the request: it is not retransmitted, but responses are still processed.
     retransmission_stopped: bool,
     /// INVITE client transaction: what its ACK or CANCEL repeats.
@@ -248,6 +250,7 @@
             key,
             last_message: Rc::clone(&last_message),
             retransmit_interval,
+            was_resent: false,
             retransmission_stopped: false,
             sent_invite,
         });
@@ -261,6 +264,32 @@
         token
     }
 
+    /// Records the connection that the last message of a transaction was sent on.
+    pub fn record_connection(&mut self, token: Token, conn: Option<Token>) {
+        if let Some(transaction) = self.table.get_mut(token) {
+            transaction.target.conn = conn.or(transaction.target.conn);
+        }
+    }
+
+    /// Handles the end of a connection. Requests other than INVITE that were sent on it and have no final response
+    /// may be lost: each is sent once more, on another connection.
+    pub fn connection_ended(&mut self, conn: Token, output: &mut Vec<Output>) {
+        let is_unanswered = |t: &Transaction| {
+            t.kind == Kind::NonInviteClient && matches!(t.state, State::Trying | State::Proceeding)
+        };
+        for (token, transaction) in self.table.iter_mut() {
+            if transaction.target.conn == Some(conn)
+                && is_unanswered(transaction)
+                && !transaction.was_resent
+            {
+                transaction.was_resent = true;
+                transaction.target.conn = None;
+                let bytes = Rc::clone(&transaction.last_message);
+                output.push(Output::Send(token, transaction.target, bytes));
+            }
+        }
+    }
+
     /// Processes a received response.
     pub fn receive_response(
         &mut self,
@@ -378,6 +407,7 @@
             key,
             last_message,
             retransmit_interval,
+            was_resent: false,
             retransmission_stopped: false,
             sent_invite: None,
         }))
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -324,6 +324,11 @@
         }
     }
 
+    /// The stream, for a peer of another protocol.
+    pub fn into_stream(self) -> TcpStream {
+        self.stream
+    }
+
     /// Sends a line.
     pub fn send(&mut self, line: &str) {
         self.stream.write_all(format!("{line}\n").as_bytes()).expect("the line is written");
--- a/node/tests/sip.rs
+++ b/node/tests/sip.rs
@@ -568,3 +568,35 @@
     assert_eq!(harness.exchange().receive_new_within(Duration::from_secs(9)), None);
     assert_eq!(caller.receive_new_within(Duration::from_millis(100)), None);
 }
+
+/// Guards against a BYE that is lost with the caller's stream and never sent again.
+#[test]
+fn bye_lost_with_the_stream_is_sent_again_on_another_one() {
+    let mut harness = SipHarness::new("udp");
+    let mut caller = harness.connect_caller("tcp");
+    let (listener, contact) = bind_listener();
+    // The caller accepts connections at another address than that of its stream.
+    let own_addr = caller.local_addr();
+    let invite = sip_request("INVITE", &caller, 1, "", "", OFFER_SDP).replace(
+        &format!("Contact: <sip:drill@{own_addr}>"),
+        &format!("Contact: <sip:drill@{contact}>"),
+    );
+    caller.send(&invite);
+    caller.expect_message("SIP/2.0 100");
+    let addr = harness.addr;
+    let invite = harness.exchange().expect_message("INVITE sip:2101@");
+    harness.exchange().send(&sip_response(&invite, "200 OK", addr, ANSWER_SDP));
+    harness.exchange().expect_message("ACK");
+    let tag = to_tag(&caller.expect_message("SIP/2.0 200"));
+    let ack = sip_request("ACK", &caller, 1, &tag, "", "").replace("z9hG4bKinvite", "z9hG4bKack");
+    caller.send(&ack);
+    std::thread::sleep(Duration::from_millis(100));
+    harness.exchange().send(&request_from_exchange("BYE", &invite, addr));
+    harness.exchange().expect_message("SIP/2.0 200");
+    // The stream ends with the BYE on it, to which there is no response.
+    std::thread::sleep(Duration::from_millis(100));
+    drop(caller);
+    let stream = LinePeer::accept(&listener).into_stream();
+    let bye = SipPeer::tcp(stream).expect_message("BYE sip:drill@");
+    assert_eq!(sip_header(&bye, "Call-ID"), "call-1");
+}
