--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -52,6 +52,18 @@
     pub description: String,
 }
 
+impl CallInfo {
+    /// The details of a call of which only the id is known.
+    pub fn with_id(id: &str) -> Self {
+        CallInfo {
+            id: id.to_owned(),
+            class: String::new(),
+            dialled_text: String::new(),
+            description: String::new(),
+        }
+    }
+}
+
 /// A new call received from a caller.
 #[derive(Debug)]
 pub struct IncomingCall {
--- a/node/src/engine/handover.rs
+++ b/node/src/engine/handover.rs
@@ -46,12 +46,7 @@
     ) -> Option<(CallToken, AttemptToken)> {
         let entry = self.exchanges.get_mut(&exchange)?;
         let (destination, incarnation) = (entry.number, entry.liveness.adopt(last_activity));
-        let info = Rc::new(CallInfo {
-            id: id.to_owned(),
-            class: String::new(),
-            dialled_text: String::new(),
-            description: String::new(),
-        });
+        let info = Rc::new(CallInfo::with_id(id));
         let call = CallToken(self.calls.insert(Call {
             info,
             class: 0,
--- a/node/src/net/clients.rs
+++ b/node/src/net/clients.rs
@@ -1,9 +1,12 @@
 //! Client connections and the calls that arrive on them, in the platform's JSON lines.
 
+mod handover;
+mod releases;
+
 use super::conn::Conn;
-use super::handover::{EstablishedCall, HandoverWriter, Record};
+use super::handover::{HandoverWriter, Record};
 use super::lines::{encode_message, is_16_hex_digits, list_value, Message};
-use super::{handover, lifecycle, Context, SourceKind, TimerEvent, ACCEPT_BATCH, MESSAGE_TIMEOUT};
+use super::{lifecycle, Context, SourceKind, TimerEvent, ACCEPT_BATCH, MESSAGE_TIMEOUT};
 use crate::arena::{Arena, Token};
 use crate::config::{Limits, WireConfig};
 use crate::end::EndReason;
@@ -285,18 +288,6 @@
         self.send_pending_releases(token, Some(peer), cx);
     }
 
-    /// Sends the releases that wait for a connection: those for `host`, or all if it is `None`.
-    fn send_pending_releases(&mut self, token: Token, host: Option<IpAddr>, cx: &mut Context) {
-        self.pending_releases.retain(|r| r.expires_at > cx.now);
-        for release in std::mem::take(&mut self.pending_releases) {
-            if host.is_none_or(|h| h == release.host) {
-                self.send_release(Some(token), release, cx);
-            } else {
-                self.pending_releases.push_back(release);
-            }
-        }
-    }
-
     /// Handles the message timeout of a client.
     pub fn timeout_due(&mut self, token: Token, cx: &mut Context) {
         let Some(client) = self.conns.get_mut(token) else {
@@ -572,189 +563,6 @@
         }
     }
 
-    /// Starts the handover to the process that replaces this one: hands over all established calls and all
-    /// releases that wait for a connection.
-    pub fn begin_handover(&mut self, writer: HandoverWriter, cx: &mut Context) {
-        self.handover = Some(writer);
-        let established = self.calls.iter().filter(|(_, client_call)| client_call.is_established);
-        let established: Vec<_> = established.map(|(call, _)| *call).collect();
-        let (calls, releases) = (established.len(), self.pending_releases.len());
-        for call in established {
-            self.hand_over(call, cx);
-        }
-        for release in std::mem::take(&mut self.pending_releases) {
-            self.send_release(None, release, cx);
-        }
-        cx.log.line(cx.now, "handover-started", format_args!("{calls} calls, {releases} releases"));
-    }
-
-    /// Starts to return releases without a connection to the process that this one replaces.
-    pub fn begin_return(&mut self, writer: HandoverWriter) {
-        self.return_writer = Some(writer);
-    }
-
-    /// Returns a release to the process that this one replaces, if that has not ended.
-    pub fn return_release(&mut self, record: &Record, cx: &mut Context) {
-        if let Some(Err(e)) = self.return_writer.as_mut().map(|writer| writer.write(record)) {
-            cx.log.line(cx.now, "handover-failed", e);
-        }
-    }
-
-    /// Passes a release that matches no call here on to the other process, while one replaces the other.
-    pub fn pass_on_unmatched(&mut self, release: handover::UnmatchedRelease, cx: &mut Context) {
-        let record = Record::UnmatchedRelease(release);
-        self.write_handover(&record, cx);
-        self.return_release(&record, cx);
-    }
-
-    /// The process that this one replaces has ended.
-    pub fn end_return(&mut self) {
-        if let Some(writer) = self.return_writer.take() {
-            writer.remove();
-        }
-    }
-
-    /// Whether any caller from a host is connected.
-    pub fn is_caller_connected(&self, host: IpAddr) -> bool {
-        self.conns.iter().any(|(_, c)| c.is_caller && c.peer == host)
-    }
-
-    /// Whether established calls are handed over to the process that replaces this one.
-    pub fn is_handing_over(&self) -> bool {
-        self.handover.is_some()
-    }
-
-    /// Hands over an established call, if this process is replaced.
-    fn hand_over(&mut self, call: CallToken, cx: &mut Context) {
-        let Some(client_call) = self.calls.get(&call).filter(|_| self.handover.is_some()) else {
-            return;
-        };
-        let Some(establishment) = cx.engine.establishment(cx.now, call) else {
-            return;
-        };
-        let record = Record::Call(EstablishedCall {
-            tag: client_call.tag.clone(),
-            host: client_call.peer,
-            exchange: establishment.exchange,
-            answered_at: establishment.answered_at,
-            last_activity: establishment.last_activity,
-        });
-        self.write_handover(&record, cx);
-    }
-
-    /// Writes a record for the process that replaces this one, if there is one. Returns whether it was written.
-    fn write_handover(&mut self, record: &Record, cx: &mut Context) -> bool {
-        let Some(written) = self.handover.as_mut().map(|writer| writer.write(record)) else {
-            return false;
-        };
-        if let Err(e) = &written {
-            cx.log.line(cx.now, "handover-failed", e);
-        }
-        written.is_ok()
-    }
-
-    /// Adopts a call that the previous process has handed over.
-    pub fn adopt_call(&mut self, call: CallToken, tag: String, host: IpAddr, cx: &mut Context) {
-        self.by_tag.insert(tag.clone(), call);
-        let client_call = ClientCall {
-            tag,
-            conn: Token::NONE,
-            peer: host,
-            is_unanswered: false,
-            is_established: true,
-        };
-        self.calls.insert(call, client_call);
-        self.hand_over(call, cx);
-    }
-
-    /// The call of a caller's id.
-    pub fn call_by_tag(&self, tag: &str) -> Option<CallToken> {
-        self.by_tag.get(tag).copied()
-    }
-
-    /// Removes an adopted call that the previous process has ended on both sides.
-    pub fn forget_call(&mut self, call: CallToken, cx: &mut Context) {
-        if let Some(client_call) = self.remove_call(call) {
-            self.write_handover(&Record::Forget { tag: client_call.tag }, cx);
-        }
-    }
-
-    /// Sends a release that the previous process could not send to its caller.
-    pub fn forward_release(&mut self, release: handover::Release, cx: &mut Context) {
-        let conn = self.select_release_connection(Token::NONE, release.host);
-        let release = Release {
-            tag: release.tag,
-            host: release.host,
-            cause: release.cause,
-            expires_at: cx.now + PENDING_RELEASE_TIMEOUT,
-        };
-        self.send_release(conn, release, cx);
-    }
-
-    /// Selects the connection for a release: the connection of the call; otherwise one from the same host that is
-    /// not a health check; otherwise one that has confirmed another release; otherwise one that is a caller. Among equals, the
-    /// most recently active one is selected. Other connections from other hosts are not used, because they
-    /// may belong to anyone. A process that is replaced uses only connections of callers from the same host: all
-    /// others can connect to the new process.
-    fn select_release_connection(&self, own: Token, host: IpAddr) -> Option<Token> {
-        if self.conns.get(own).is_some() {
-            return Some(own);
-        }
-        let is_handing_over = self.is_handing_over();
-        let is_usable = |c: &Client| match is_handing_over {
-            true => c.is_caller && c.peer == host,
-            false => c.is_caller || c.peer == host && !c.is_health_check(),
-        };
-        let callers = self.conns.iter().filter(|(_, c)| is_usable(c));
-        let rank = |c: &Client| (c.peer == host, c.confirms_releases, c.is_caller, c.last_active_at);
-        callers.max_by_key(|(_, c)| rank(c)).map(|(token, _)| token)
-    }
-
-    /// Sends the releases again that were sent on a connection before it turned out to be a health check.
-    fn resend_releases_of_health_check(&mut self, token: Token, cx: &mut Context) {
-        let Some(client) = self.conns.get_mut(token).filter(|c| c.is_health_check()) else {
-            return;
-        };
-        for (_, release) in std::mem::take(&mut client.unconfirmed_releases) {
-            let conn = self.select_release_connection(Token::NONE, release.host);
-            self.send_release(conn, release, cx);
-        }
-    }
-
-    /// Sends a release. Without a connection, it is passed on to the process that replaces this one, or queued
-    /// for the next connection.
-    fn send_release(&mut self, conn: Option<Token>, release: Release, cx: &mut Context) {
-        let Some((token, client)) = conn.and_then(|t| Some((t, self.conns.get_mut(t)?))) else {
-            return self.keep_release(release, cx);
-        };
-        let rc = if release.cause == ReleaseCause::Normal { CAUSE_ENDED } else { CAUSE_DROPPED };
-        let bytes = encode_message("FINISH", &release.tag, &[], Some(rc), None);
-        client.unconfirmed_releases.retain(|(at, _)| *at + UNCONFIRMED_RELEASE_TIMEOUT > cx.now);
-        client.unconfirmed_releases.push((cx.now, release));
-        self.send(token, &bytes);
-    }
-
-    /// Passes a release on to the process that replaces this one, or queues it for the next connection.
-    fn keep_release(&mut self, release: Release, cx: &mut Context) {
-        let record = Record::Release(handover::Release {
-            tag: release.tag.clone(),
-            host: release.host,
-            cause: release.cause,
-        });
-        if self.write_handover(&record, cx) {
-            return;
-        }
-        self.return_release(&record, cx);
-        let why = "no connection of its caller";
-        cx.log.line(cx.now, "release-kept", format_args!("call={} why=\"{why}\"", release.tag));
-        if self.pending_releases.len() >= MAX_PENDING_RELEASES {
-            if let Some(discarded) = self.pending_releases.pop_front() {
-                cx.log.line(cx.now, "release-discarded", format_args!("call={}", discarded.tag));
-            }
-        }
-        self.pending_releases.push_back(release);
-    }
-
     /// Sends an answer.
     fn answer(&mut self, token: Token, bytes: &[u8]) {
         if let Some(client) = self.conns.get_mut(token) {
--- /dev/null
+++ b/node/src/net/clients/releases.rs
@@ -0,0 +1,107 @@
+//! Releases of established calls towards their callers: which connection each is sent on, and those that wait for
+//! a connection.
+
+use super::{
+    encode_message, Client, Clients, Release, CAUSE_DROPPED, CAUSE_ENDED, MAX_PENDING_RELEASES,
+    PENDING_RELEASE_TIMEOUT, UNCONFIRMED_RELEASE_TIMEOUT,
+};
+use crate::arena::Token;
+use crate::engine::ReleaseCause;
+use crate::net::handover::{self, Record};
+use crate::net::Context;
+use std::net::IpAddr;
+
+impl Clients {
+    /// Sends the releases that wait for a connection: those for `host`, or all if it is `None`.
+    pub(super) fn send_pending_releases(
+        &mut self,
+        token: Token,
+        host: Option<IpAddr>,
+        cx: &mut Context,
+    ) {
+        self.pending_releases.retain(|r| r.expires_at > cx.now);
+        for release in std::mem::take(&mut self.pending_releases) {
+            if host.is_none_or(|h| h == release.host) {
+                self.send_release(Some(token), release, cx);
+            } else {
+                self.pending_releases.push_back(release);
+            }
+        }
+    }
+
+    /// Sends a release that the previous process could not send to its caller.
+    pub fn forward_release(&mut self, release: handover::Release, cx: &mut Context) {
+        let conn = self.select_release_connection(Token::NONE, release.host);
+        let release = Release {
+            tag: release.tag,
+            host: release.host,
+            cause: release.cause,
+            expires_at: cx.now + PENDING_RELEASE_TIMEOUT,
+        };
+        self.send_release(conn, release, cx);
+    }
+
+    /// Selects the connection for a release: the connection of the call; otherwise one from the same host that is
+    /// not a health check; otherwise one that has confirmed another release; otherwise one that is a caller. Among equals, the
+    /// most recently active one is selected. Other connections from other hosts are not used, because they
+    /// may belong to anyone. A process that is replaced uses only connections of callers from the same host: all
+    /// others can connect to the new process.
+    pub(super) fn select_release_connection(&self, own: Token, host: IpAddr) -> Option<Token> {
+        if self.conns.get(own).is_some() {
+            return Some(own);
+        }
+        let is_handing_over = self.is_handing_over();
+        let is_usable = |c: &Client| match is_handing_over {
+            true => c.is_caller && c.peer == host,
+            false => c.is_caller || c.peer == host && !c.is_health_check(),
+        };
+        let callers = self.conns.iter().filter(|(_, c)| is_usable(c));
+        let rank = |c: &Client| (c.peer == host, c.confirms_releases, c.is_caller, c.last_active_at);
+        callers.max_by_key(|(_, c)| rank(c)).map(|(token, _)| token)
+    }
+
+    /// Sends the releases again that were sent on a connection before it turned out to be a health check.
+    pub(super) fn resend_releases_of_health_check(&mut self, token: Token, cx: &mut Context) {
+        let Some(client) = self.conns.get_mut(token).filter(|c| c.is_health_check()) else {
+            return;
+        };
+        for (_, release) in std::mem::take(&mut client.unconfirmed_releases) {
+            let conn = self.select_release_connection(Token::NONE, release.host);
+            self.send_release(conn, release, cx);
+        }
+    }
+
+    /// Sends a release. Without a connection, it is passed on to the process that replaces this one, or queued
+    /// for the next connection.
+    pub(super) fn send_release(&mut self, conn: Option<Token>, release: Release, cx: &mut Context) {
+        let Some((token, client)) = conn.and_then(|t| Some((t, self.conns.get_mut(t)?))) else {
+            return self.keep_release(release, cx);
+        };
+        let rc = if release.cause == ReleaseCause::Normal { CAUSE_ENDED } else { CAUSE_DROPPED };
+        let bytes = encode_message("FINISH", &release.tag, &[], Some(rc), None);
+        client.unconfirmed_releases.retain(|(at, _)| *at + UNCONFIRMED_RELEASE_TIMEOUT > cx.now);
+        client.unconfirmed_releases.push((cx.now, release));
+        self.send(token, &bytes);
+    }
+
+    /// Passes a release on to the process that replaces this one, or queues it for the next connection.
+    pub(super) fn keep_release(&mut self, release: Release, cx: &mut Context) {
+        let record = Record::Release(handover::Release {
+            tag: release.tag.clone(),
+            host: release.host,
+            cause: release.cause,
+        });
+        if self.write_handover(&record, cx) {
+            return;
+        }
+        self.return_release(&record, cx);
+        let why = "no connection of its caller";
+        cx.log.line(cx.now, "release-kept", format_args!("call={} why=\"{why}\"", release.tag));
+        if self.pending_releases.len() >= MAX_PENDING_RELEASES {
+            if let Some(discarded) = self.pending_releases.pop_front() {
+                cx.log.line(cx.now, "release-discarded", format_args!("call={}", discarded.tag));
+            }
+        }
+        self.pending_releases.push_back(release);
+    }
+}
--- a/node/src/net/exchanges/mod.rs
+++ b/node/src/net/exchanges/mod.rs
@@ -52,6 +52,10 @@
 const MAX_CANCELLED_IDS: usize = 16;
 /// Time after which a release that still waits for a connection is discarded.
 const PENDING_RELEASE_TIMEOUT: Duration = Duration::from_secs(8);
+/// Cause of a release: the call has ended normally.
+const CAUSE_ENDED: u32 = 16;
+/// Cause of a release: the call was dropped.
+const CAUSE_DROPPED: u32 = 41;
 /// Maximum number of releases that wait for a connection to one exchange.
 const MAX_PENDING_RELEASES: usize = 1024;
 
@@ -445,7 +449,7 @@
                 }
                 self.send(
                     sent.connection,
-                    &encode_message("FINISH", &sent.info.id, &[], Some(16), None),
+                    &encode_message("FINISH", &sent.info.id, &[], Some(CAUSE_ENDED), None),
                 );
                 self.observe_unanswered(&sent, cx);
                 self.close_if_drained(sent.connection, cx);
@@ -454,7 +458,7 @@
                 let Some(sent) = self.remove_attempt(attempt) else {
                     return;
                 };
-                let rc = if cause == ReleaseCause::Normal { 16 } else { 41 };
+                let rc = if cause == ReleaseCause::Normal { CAUSE_ENDED } else { CAUSE_DROPPED };
                 let release = encode_message("FINISH", &sent.info.id, &[], Some(rc), None);
                 let target = Some(sent.connection).filter(|t| self.is_usable(t));
                 let target = target
@@ -743,7 +747,7 @@
                     "release-unmatched",
                     format_args!("call={} exchange={name}", message.tag),
                 );
-                let is_normal = message.rc == Some(16);
+                let is_normal = message.rc == Some(CAUSE_ENDED);
                 let cause = if is_normal { ReleaseCause::Normal } else { ReleaseCause::Dropped };
                 let release = UnmatchedRelease { tag: message.tag, exchange: name, cause };
                 self.unmatched_releases.push(release);
@@ -835,7 +839,7 @@
 /// Maps a release by an exchange to the end reason of the attempt.
 fn release_reason(rc: Option<u32>, note: &str, is_established: bool) -> EndReason {
     match (rc, note) {
-        (Some(16), _) if is_established => EndReason::Ended,
+        (Some(CAUSE_ENDED), _) if is_established => EndReason::Ended,
         _ if is_established => EndReason::Dropped,
         (Some(34), "group_full") => EndReason::NoCircuit,
         (Some(34), "tandem_refused") => EndReason::TandemRefused,
@@ -845,7 +849,7 @@
         (Some(102), "group_full") => EndReason::NoCircuit,
         (Some(102), "processor_full") => EndReason::LocalProcessorDown,
         (Some(102), _) => EndReason::NotSent,
-        (Some(41), _) => EndReason::Dropped,
+        (Some(CAUSE_DROPPED), _) => EndReason::Dropped,
         _ => EndReason::Fault,
     }
 }
--- a/node/src/net/exchanges/repeats.rs
+++ b/node/src/net/exchanges/repeats.rs
@@ -159,12 +159,7 @@
         tag: &str,
         now: Duration,
     ) {
-        let info = Rc::new(CallInfo {
-            id: tag.to_owned(),
-            class: String::new(),
-            dialled_text: String::new(),
-            description: String::new(),
-        });
+        let info = Rc::new(CallInfo::with_id(tag));
         self.by_tag.insert((exchange, tag.to_owned()), attempt);
         self.attempts.insert(
             attempt,
