Release calls of a superseded exchange process at a replacement only after silence

Cause: at its end a replaced process releases the calls at exchange processes that newer connections seem to have superseded, on each turn of the loop. A check of a live exchange renews a connection, and until the old one is closed in return, 1 ms later in the log, the new connection counts as another process. Change: the process must also have been silent for 3 s, the delay of a check and its time limit, by which a live one has shown activity.

Measured: replaced_process_releases_calls_at_a_superseded_process_only_after_its_silence failed before (the call is cut at once) and passes; node/tests/handover.rs passes.

--- a/node/src/engine/liveness.rs
+++ b/node/src/engine/liveness.rs
@@ -3,7 +3,7 @@
 
 use super::{AttemptToken, Command, Engine, EngineTimer, ReleaseCause};
 use crate::end::EndReason;
-use crate::liveness::{FailureSign, Incarnation, Review};
+use crate::liveness::{FailureSign, Incarnation, Review, CHECK_DELAY, CHECK_TIMEOUT};
 use crate::log_events::LogEvent;
 use crate::timers::TimerQueue;
 use slateshed::ExchangeId;
@@ -280,7 +280,13 @@
         now: Duration,
         timers: &mut TimerQueue<D>,
     ) {
-        self.release_calls_at(now, Engine::is_superseded, timers);
+        // A live process closes the connection that a check has closed, or shows other activity, by then.
+        let min_silence = CHECK_DELAY + CHECK_TIMEOUT;
+        let is_lost = |engine: &Engine, exchange, incarnation| {
+            engine.is_superseded(exchange, incarnation)
+                && engine.silent_for(now, exchange, incarnation) >= min_silence
+        };
+        self.release_calls_at(now, is_lost, timers);
     }
 
     /// Releases the established calls at the processes that a condition selects.
--- a/node/src/liveness.rs
+++ b/node/src/liveness.rs
@@ -26,9 +26,9 @@
 const FIRST_CHECK_DELAY: Duration = Duration::from_millis(500);
 /// A process with established calls is checked after this long without activity. A failed dial and a second
 /// one then fit into an outage of 3 s.
-const CHECK_DELAY: Duration = Duration::from_secs(2);
+pub const CHECK_DELAY: Duration = Duration::from_secs(2);
 /// A check without activity within this time has failed, and another may start.
-const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
+pub const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
 /// Weight of failure signs in a row from which on a new connection is not assumed to lead to the same
 /// process. A single sign is not enough, as one dial in fifty never succeeds and an answer may be lost.
 const MIN_SUSPICION_WEIGHT: u32 = 2;
--- a/node/tests/engine.rs
+++ b/node/tests/engine.rs
@@ -332,3 +332,24 @@
         assert_eq!(released, sign.is_none(), "{sign:?}");
     }
 }
+
+/// Guards against calls that a replaced process cuts at its end because a check of a live exchange is not finished.
+#[test]
+fn replaced_process_releases_calls_at_a_superseded_process_only_after_its_silence() {
+    let mut harness = EngineHarness::new();
+    let exchange = harness.exchange(1);
+    let old = harness.engine.connected(harness.now, exchange);
+    harness.new_call(3000);
+    let (attempt, _) = harness.expect_only_set_up();
+    assert!(harness.answer_attempt(attempt));
+    harness.take_commands();
+    harness.engine.record_failure_sign(harness.now, exchange, FailureSign::AllReset(old));
+    harness.now += ms(1);
+    assert_ne!(harness.engine.connected(harness.now, exchange), old);
+    harness.engine.release_superseded(harness.now, &mut harness.timers);
+    assert_eq!(harness.take_commands(), [], "the call is cut");
+    harness.now += ms(3000);
+    harness.engine.release_superseded(harness.now, &mut harness.timers);
+    let commands = harness.take_commands();
+    assert!(commands.iter().any(|c| matches!(c, Command::ReleaseCaller(..))), "{commands:?}");
+}
