--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -5,10 +5,11 @@
 use crate::{Setting, Verdict};
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
+use std::time::Duration;
 
 pub fn run(case: &str, setting: &Setting) -> Verdict {
     match case {
-        "silent-message" => silent_message(setting),
+        "restart-standing" => restart_standing(setting),
         "second-copy" => second_copy(setting),
         "foreign-release" => foreign_release(setting),
         "slow-journal" => slow_journal(setting),
@@ -33,54 +34,6 @@
     servers
 }
 
-fn silent_message(setting: &Setting) -> Verdict {
-    let record = &setting.record;
-    let journal = Journal::start(record);
-    let own = Exchange::start("x0", record, |_, _, _| {});
-    // The wait at its processor is 2.15 s.
-    let x1 = Exchange::start("x1", record, |x, conn, line| {
-        if line.verb() == "START" {
-            x.send_later(conn, ms(2150), answer(&line.tag(), &x.name));
-        }
-    });
-    let x2 = Exchange::start("x2", record, answers);
-    x1.report(0);
-    x2.report(0);
-    let mut platform = Platform::new(&setting.root, record, false);
-    platform.configure(journal.addr, &list(&own, &[&x1, &x2]), 1);
-    platform.start(&[]);
-    if !platform.ready(ms(30_000)) {
-        return Verdict::CouldNotRun("the call controller is not ready".into());
-    }
-    sleep(ms(1000));
-    let Some(client) = Client::connect("caller", platform.listen, record) else {
-        return Verdict::CouldNotRun("the caller can't connect".into());
-    };
-    let (call, next) = (tag(1), tag(2));
-    let sent_at = record.now();
-    client.send(&set_up(&call, "box-photos", 3600, 1));
-    sleep(ms(20));
-    if setting.trouble {
-        let whole = set_up(&next, "box-photos", 3600, 1);
-        client.send_raw(&whole[..whole.len() / 2]);
-    }
-    sleep(ms(730));
-    x1.report(20);
-    let answered = client.wait(&call, &["STARTED", "FINISH"], ms(3650 - 750));
-    let sent_on = x1.set_ups().first().map(|l| l.at);
-    let closed = client.inbox.wait(ms(0), |l| l.verb() == "CLOSED").map(|l| l.at);
-    match (answered, sent_on, closed) {
-        (_, None, _) => Verdict::CouldNotRun("the call was never sent on".into()),
-        (Some(line), ..) => Verdict::Held(format!("the call was answered with {}", line.verb())),
-        (None, Some(sent_on), Some(closed)) if closed < sent_at + 3600 => Verdict::Broken(format!(
-            "the call was sent on after {} ms, and its connection was closed with no answer after {} of 3600 ms",
-            sent_on - sent_at,
-            closed - sent_at
-        )),
-        (None, ..) => Verdict::Held("the call's time ran out on an open connection".into()),
-    }
-}
-
 /// Ordinary set-ups before the one that ends with an error, so that at most one in a thousand does.
 const ORDINARY_CALLS: u64 = 1000;
 
@@ -303,3 +256,58 @@
         lost => Verdict::Broken(format!("{lost} callers were never released ({figures})")),
     }
 }
+
+fn restart_standing(setting: &Setting) -> Verdict {
+    let record = &setting.record;
+    let journal = Journal::start(record);
+    let own = Exchange::start("x0", record, |_, _, _| {});
+    let x1 = Exchange::start("x1", record, answers);
+    let x2 = Exchange::start("x2", record, answers);
+    let mut platform = Platform::new(&setting.root, record, false);
+    let servers = list(&own, &[&x1, &x2]);
+    platform.configure(journal.addr, &servers, 1);
+    let old = platform.start(&[]);
+    if !platform.ready(ms(30_000)) {
+        return Verdict::CouldNotRun("the call controller is not ready".into());
+    }
+    sleep(ms(1000));
+    let Some(client) = Client::connect("caller", platform.listen, record) else {
+        return Verdict::CouldNotRun("the caller can't connect".into());
+    };
+    client.send(&set_up(&tag(1), "log-lookup", 3000, 1));
+    if client.wait(&tag(1), &["STARTED"], ms(3000)).is_none() {
+        return Verdict::CouldNotRun("the call does not stand".into());
+    }
+    let mut again = None;
+    if setting.trouble {
+        platform.signal(old, SIGTERM);
+        for _ in 0..100 {
+            sleep(ms(50));
+            if platform.has_ended(old) {
+                break;
+            }
+        }
+        platform.kill(old);
+        platform.start(&[]);
+        if !platform.ready(ms(30_000)) {
+            return Verdict::CouldNotRun("the new call controller is not ready".into());
+        }
+        sleep(ms(500));
+        again = Client::connect("caller", platform.listen, record);
+        if let Some(again) = &again {
+            again.send(&set_up(&tag(2), "log-lookup", 3000, 1));
+            let _ = again.wait(&tag(2), &["STARTED"], ms(3000));
+        }
+    }
+    sleep(ms(3000));
+    // The call comes to its end, unless the call controller has cut it.
+    if !x1.inbox.all().iter().any(|l| l.verb() == "FINISH" && l.tag() == tag(1)) {
+        x1.end_call(&tag(1), 16);
+    }
+    let heard = |c: &Client, within: Duration| c.wait(&tag(1), &["FINISH"], within).is_some();
+    let released = heard(&client, ms(1500)) || again.as_ref().is_some_and(|c| heard(c, ms(8500)));
+    match released {
+        true => Verdict::Held("the caller was released".into()),
+        false => Verdict::Broken("the caller was never released".into()),
+    }
+}
