--- a/review/stand-ins-2/parts.rs
+++ b/review/stand-ins-2/parts.rs
@@ -17,6 +17,7 @@
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
     fn dup2(from: i32, to: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
     fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
     fn bind(socket: i32, address: *const SockAddr, length: u32) -> i32;
     fn connect(socket: i32, address: *const SockAddr, length: u32) -> i32;
@@ -574,16 +575,23 @@
         command.env("ROUTER_CONFIG", self.folder.join("config.json"));
         command.envs(env.iter().copied());
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
-        if let Some(socket) = &self.socket {
-            let descriptor = socket.as_raw_fd();
+        let descriptor = self.socket.as_ref().map(|s| s.as_raw_fd());
+        if descriptor.is_some() {
             command.env("ROUTER_SOCKET_FD", "7");
-            // Only dup2 is called between fork and exec.
-            unsafe {
-                command.pre_exec(move || match dup2(descriptor, 7) {
-                    7 => Ok(()),
-                    _ => Err(std::io::Error::last_os_error()),
-                });
-            }
+        }
+        // The call controller ends with the case, also where the case itself is killed. Only system calls are made
+        // between fork and exec.
+        unsafe {
+            command.pre_exec(move || {
+                const PR_SET_PDEATHSIG: i32 = 1;
+                if prctl(PR_SET_PDEATHSIG, SIGKILL as u64) != 0 {
+                    return Err(std::io::Error::last_os_error());
+                }
+                match descriptor.map(|d| dup2(d, 7)) {
+                    None | Some(7) => Ok(()),
+                    Some(_) => Err(std::io::Error::last_os_error()),
+                }
+            });
         }
         let child = command.spawn().expect("the call controller starts");
         let pid = child.id();
