Tell callers of the calls that stand when a process ends without a successor

Cause: only the process that ends knows which call stands for whom, and it left them standing ("stopped: 1 calls stand"). The next process gets the exchange's release under an id that it does not know ("release-unmatched") and dropped it.

Change: at the end of a shutdown without a successor, calls whose caller is connected are released on both sides. The others are left to their exchange, and the next process sends a release under an id that it never received a set-up for once to each host that callers connect from, also after a crash. No check renews a connection during such a shutdown, as an exchange repeats releases on it. Releases of established calls alone (cause 16 or 41) count as such, not late refusals.

Why it works: whoever still has a connection is told by the process that knows the call; whoever has none is told by the one that the exchange repeats the release to.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -114,6 +114,12 @@
         (self.memory_bytes / 8 / 4096).max(256)
     }
 
+    /// Maximum number of ids of received set-ups that are recorded after the start: a 64th of the memory, at 32 bytes
+    /// each.
+    pub fn max_own_ids(&self) -> usize {
+        (self.memory_bytes / 64 / 32).max(1024)
+    }
+
     /// Maximum number of calls without a final answer, over all fronts: an eighth of the memory, if each
     /// session description has the maximum message size.
     pub fn max_unanswered_calls(&self) -> usize {
--- a/node/src/end.rs
+++ b/node/src/end.rs
@@ -58,9 +58,10 @@
     Fault,
     /// The exchange reset the set-up or dropped the call.
     Dropped,
-    /// The call was established at a process that is considered dead because it has been silent for too long,
-    /// or that is suspected to have failed at the end of a graceful shutdown.
+    /// The call was established at a process that is considered dead because it has been silent for too long.
     ExchangeDead,
+    /// The call was established at the end of a graceful shutdown, and no other process takes it over.
+    ShutDown,
 }
 
 impl EndReason {
@@ -81,7 +82,7 @@
             EndReason::SendBufferFull | EndReason::ClosedLocally | EndReason::Overtaken => {
                 Outcome::Disconnected
             }
-            EndReason::Dropped | EndReason::ExchangeDead => Outcome::Reset,
+            EndReason::Dropped | EndReason::ExchangeDead | EndReason::ShutDown => Outcome::Reset,
             EndReason::TimedOut => Outcome::TimedOut,
             EndReason::Cancelled => Outcome::Cancelled,
             EndReason::NotSent => Outcome::NotSent,
@@ -131,6 +132,7 @@
             EndReason::Fault => "fault",
             EndReason::Dropped => "cut",
             EndReason::ExchangeDead => "lost",
+            EndReason::ShutDown => "shut down",
         }
     }
 }
--- a/node/src/engine/liveness.rs
+++ b/node/src/engine/liveness.rs
@@ -1,7 +1,7 @@
 //! Liveness of exchanges: records the activity and failure signs that fronts report, and releases the calls
 //! of processes that are dead.
 
-use super::{AttemptToken, Command, Engine, EngineTimer, ReleaseCause};
+use super::{AttemptToken, CallToken, Command, Engine, EngineTimer, ReleaseCause};
 use crate::end::EndReason;
 use crate::liveness::{FailureSign, Incarnation, Review, CHECK_DELAY, CHECK_TIMEOUT};
 use crate::log_events::LogEvent;
@@ -263,14 +263,24 @@
         }
     }
 
-    /// At the end of a graceful shutdown, sends the callers a release of each call at a process that is
-    /// suspected to have failed, as this controller cannot send it later.
-    pub fn release_suspected<D: From<EngineTimer>>(
+    /// At the end of a graceful shutdown without a successor, releases the established calls on both sides. Once this
+    /// process has ended, nobody knows them. A call whose caller is not reachable is left to its exchange, which
+    /// repeats the release to the next process.
+    pub fn release_at_shutdown<D: From<EngineTimer>>(
         &mut self,
         now: Duration,
+        is_reachable: impl Fn(CallToken) -> bool,
         timers: &mut TimerQueue<D>,
     ) {
-        self.release_calls_at(now, Engine::is_suspected, timers);
+        let established = self.attempts.iter().filter(|(_, a)| a.is_established);
+        let attempts: Vec<_> = established
+            .filter(|(_, a)| is_reachable(a.call))
+            .map(|(token, _)| AttemptToken(token))
+            .collect();
+        for attempt in attempts {
+            self.commands.push_back(Command::ReleaseExchange(attempt, ReleaseCause::Dropped));
+            self.attempt_ended(now, attempt, EndReason::ShutDown, timers);
+        }
     }
 
     /// At the end of a process that is replaced, sends the callers a release of each call at a process that
@@ -286,20 +296,10 @@
             engine.is_superseded(exchange, incarnation)
                 && engine.silent_for(now, exchange, incarnation) >= min_silence
         };
-        self.release_calls_at(now, is_lost, timers);
-    }
-
-    /// Releases the established calls at the processes that a condition selects.
-    fn release_calls_at<D: From<EngineTimer>>(
-        &mut self,
-        now: Duration,
-        is_selected: impl Fn(&Engine, ExchangeId, Incarnation) -> bool,
-        timers: &mut TimerQueue<D>,
-    ) {
         let attempts: Vec<_> = self
             .attempts
             .iter()
-            .filter(|(_, a)| a.is_established && is_selected(self, a.exchange, a.incarnation))
+            .filter(|(_, a)| a.is_established && is_lost(self, a.exchange, a.incarnation))
             .map(|(token, _)| AttemptToken(token))
             .collect();
         for attempt in attempts {
--- a/node/src/net/clients.rs
+++ b/node/src/net/clients.rs
@@ -1,5 +1,6 @@
 //! Client connections and the calls that arrive on them, in the platform's JSON lines.
 
+mod earlier_calls;
 mod handover;
 mod releases;
 
@@ -11,6 +12,7 @@
 use crate::config::{Limits, WireConfig};
 use crate::end::EndReason;
 use crate::engine::{CallInfo, CallToken, Command, IncomingCall, ReleaseCause};
+use earlier_calls::EarlierCalls;
 use mio::net::{TcpListener, TcpStream};
 use mio::Interest;
 use slateshed::{DialledNumber, ExchangeNumber, Origin};
@@ -123,6 +125,10 @@
     /// The file in which releases are returned to the process that this one replaces. Their callers may still be
     /// connected there.
     return_writer: Option<HandoverWriter>,
+    /// `None` if the previous process hands its calls over, or has ended long ago.
+    earlier_calls: Option<EarlierCalls>,
+    /// Number of releases of calls that an earlier process has established.
+    released_earlier_calls: u64,
     /// Connections that [`Clients::end_connections`] ends.
     connections_to_end: Vec<(Token, EndReason)>,
     /// Connections with unread data left over from the last iteration.
@@ -146,6 +152,8 @@
             pending_releases: VecDeque::new(),
             handover: None,
             return_writer: None,
+            earlier_calls: Some(EarlierCalls::new(limits.max_own_ids())),
+            released_earlier_calls: 0,
             connections_to_end: Vec::new(),
             unread: Vec::new(),
             paused: false,
@@ -286,6 +294,7 @@
         }
         cx.timers.schedule(now + MESSAGE_TIMEOUT, TimerEvent::ClientTimeout(token));
         self.send_pending_releases(token, Some(peer), cx);
+        self.send_earlier_releases(token, peer, cx);
     }
 
     /// Handles the message timeout of a client.
@@ -429,6 +438,7 @@
         }
         let peer = client.peer;
         let tag = message.tag.clone();
+        self.record_own_id(&tag);
         let new = match parse_set_up(message, cx.wire) {
             Ok(new) => new,
             Err(field) => {
--- /dev/null
+++ b/node/src/net/clients/earlier_calls.rs
@@ -0,0 +1,160 @@
+//! Releases of calls that an earlier process of this controller has established. That process has ended without
+//! handing them over, so only the exchange knows them: it sends a release under an id that was never seen here. The
+//! caller is unknown as well, so the release is sent once to each host that callers connect from.
+
+use super::{Clients, Release, PENDING_RELEASE_TIMEOUT};
+use crate::arena::Token;
+use crate::engine::ReleaseCause;
+use crate::net::handover::UnmatchedRelease;
+use crate::net::Context;
+use std::collections::{BTreeSet, HashSet, VecDeque};
+use std::net::IpAddr;
+use std::time::Duration;
+
+/// Maximum number of releases that are kept for callers that connect later.
+const MAX_KEPT_RELEASES: usize = 1024;
+/// Maximum number of hosts that one release is sent to.
+const MAX_HOSTS: usize = 64;
+
+/// Tells the calls of an earlier process from those of this one, and keeps their releases.
+pub(super) struct EarlierCalls {
+    /// The ids of all set-ups that this process has received. An exchange repeats the releases of these calls, too.
+    own_ids: HashSet<u64>,
+    max_own_ids: usize,
+    releases: VecDeque<EarlierRelease>,
+}
+
+/// A release of a call that an earlier process has established.
+struct EarlierRelease {
+    tag: String,
+    cause: ReleaseCause,
+    /// Until then, it is sent to the hosts of callers that connect.
+    expires_at: Duration,
+    /// The hosts that it was sent to.
+    informed_hosts: BTreeSet<IpAddr>,
+}
+
+/// The number that a valid id stands for.
+fn id_number(tag: &str) -> Option<u64> {
+    u64::from_str_radix(tag, 16).ok()
+}
+
+impl EarlierCalls {
+    /// Creates the state of a process that has received no set-up yet.
+    pub(super) fn new(max_own_ids: usize) -> Self {
+        EarlierCalls { own_ids: HashSet::new(), max_own_ids, releases: VecDeque::new() }
+    }
+
+    /// Whether this process has received so many set-ups that their ids are no longer recorded.
+    fn is_full(&self) -> bool {
+        self.own_ids.len() >= self.max_own_ids
+    }
+
+    /// Adds a release, unless the call is one of this process or its release was received before.
+    fn add(&mut self, release: &UnmatchedRelease, now: Duration) -> bool {
+        let is_new = id_number(&release.tag).is_some_and(|id| self.own_ids.insert(id));
+        if !is_new {
+            return false;
+        }
+        self.releases.retain(|r| r.expires_at > now);
+        if self.releases.len() >= MAX_KEPT_RELEASES {
+            self.releases.pop_front();
+        }
+        self.releases.push_back(EarlierRelease {
+            tag: release.tag.clone(),
+            cause: release.cause,
+            expires_at: now + PENDING_RELEASE_TIMEOUT,
+            informed_hosts: BTreeSet::new(),
+        });
+        true
+    }
+
+    /// Returns the releases that were not sent to a host yet, and records that they are sent now.
+    fn take_for_host(&mut self, host: IpAddr, now: Duration) -> Vec<Release> {
+        self.releases.retain(|r| r.expires_at > now);
+        let mut releases = Vec::new();
+        for release in &mut self.releases {
+            if release.informed_hosts.len() < MAX_HOSTS && release.informed_hosts.insert(host) {
+                releases.push(Release {
+                    tag: release.tag.clone(),
+                    host,
+                    cause: release.cause,
+                    expires_at: release.expires_at,
+                });
+            }
+        }
+        releases
+    }
+}
+
+impl Clients {
+    /// Records the id of a set-up. Once there are too many of them, the calls of an earlier process cannot be told
+    /// from those of this one; they have ended long before.
+    pub(super) fn record_own_id(&mut self, tag: &str) {
+        if let Some((earlier_calls, id)) = self.earlier_calls.as_mut().zip(id_number(tag)) {
+            earlier_calls.own_ids.insert(id);
+        }
+        if self.earlier_calls.as_ref().is_some_and(EarlierCalls::is_full) {
+            self.earlier_calls = None;
+        }
+    }
+
+    /// Handles a release under an id that no call has: if an earlier process has established the call, its caller is
+    /// told.
+    pub(super) fn release_earlier_call(&mut self, release: &UnmatchedRelease, cx: &mut Context) {
+        let Some(earlier_calls) = self.earlier_calls.as_mut() else {
+            return;
+        };
+        if !earlier_calls.add(release, cx.now) {
+            return;
+        }
+        self.released_earlier_calls += 1;
+        let details = format_args!("call={} exchange={}", release.tag, release.exchange);
+        cx.log.line(cx.now, "earlier-call-released", details);
+        let hosts: BTreeSet<_> = self.conns.iter().map(|(_, client)| client.peer).collect();
+        for host in hosts {
+            if let Some(token) = self.release_connection_to_host(host) {
+                self.send_earlier_releases(token, host, cx);
+            }
+        }
+    }
+
+    /// Sends the releases of earlier calls on a connection, if they were not sent to its host before.
+    pub(super) fn send_earlier_releases(&mut self, token: Token, host: IpAddr, cx: &mut Context) {
+        let Some(earlier_calls) = self.earlier_calls.as_mut() else {
+            return;
+        };
+        for release in earlier_calls.take_for_host(host, cx.now) {
+            self.send_release(Some(token), release, cx);
+        }
+    }
+
+    /// Number of releases of calls that an earlier process has established.
+    pub fn released_earlier_call_count(&self) -> u64 {
+        self.released_earlier_calls
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn release(tag: &str) -> UnmatchedRelease {
+        let (tag, exchange) = (tag.to_owned(), "s-one".to_owned());
+        UnmatchedRelease { tag, exchange, cause: ReleaseCause::Normal }
+    }
+
+    /// Guards against a release that is sent to the same host twice, or to a caller that connects long afterwards.
+    #[test]
+    fn a_release_is_sent_to_each_host_once_until_it_expires() {
+        let (now, hosts) =
+            (Duration::from_secs(1), [IpAddr::from([127, 0, 0, 2]), [127, 0, 0, 3].into()]);
+        let mut calls = EarlierCalls::new(8);
+        assert!(calls.add(&release("9b1f03aa5c7e2d41"), now));
+        assert!(!calls.add(&release("9b1f03aa5c7e2d41"), now), "a repeated release");
+        assert!(!calls.add(&release("not an id"), now));
+        assert_eq!(calls.take_for_host(hosts[0], now).len(), 1);
+        assert_eq!(calls.take_for_host(hosts[0], now).len(), 0);
+        assert_eq!(calls.take_for_host(hosts[1], now + PENDING_RELEASE_TIMEOUT).len(), 0);
+    }
+}
--- a/node/src/net/clients/handover.rs
+++ b/node/src/net/clients/handover.rs
@@ -28,6 +28,7 @@
     /// Starts to return releases without a connection to the process that this one replaces.
     pub fn begin_return(&mut self, writer: HandoverWriter) {
         self.return_writer = Some(writer);
+        self.earlier_calls = None;
     }
 
     /// Returns a release to the process that this one replaces, if that has not ended.
@@ -37,11 +38,15 @@
         }
     }
 
-    /// Passes a release that matches no call here on to the other process, while one replaces the other.
+    /// Passes a release that matches no call here on to the other process, while one replaces the other. Otherwise the
+    /// call may be one of an earlier process.
     pub fn pass_on_unmatched(&mut self, release: UnmatchedRelease, cx: &mut Context) {
         let record = Record::UnmatchedRelease(release);
         self.write_handover(&record, cx);
         self.return_release(&record, cx);
+        if let Record::UnmatchedRelease(release) = &record {
+            self.release_earlier_call(release, cx);
+        }
     }
 
     /// The process that this one replaces has ended.
@@ -51,6 +56,14 @@
         }
     }
 
+    /// Whether the caller of a call is connected: on the connection of the call, or on another one from its host.
+    pub fn is_caller_reachable(&self, call: CallToken) -> bool {
+        let Some(client_call) = self.calls.get(&call) else {
+            return false;
+        };
+        self.conns.get(client_call.conn).is_some() || self.is_caller_connected(client_call.peer)
+    }
+
     /// Whether any caller from a host is connected.
     pub fn is_caller_connected(&self, host: IpAddr) -> bool {
         self.conns.iter().any(|(_, c)| c.is_caller && c.peer == host)
--- a/node/src/net/clients/releases.rs
+++ b/node/src/net/clients/releases.rs
@@ -60,6 +60,13 @@
         callers.max_by_key(|(_, c)| rank(c)).map(|(token, _)| token)
     }
 
+    /// Selects the connection for a release to a host: one that is not a health check, if there is any.
+    pub(super) fn release_connection_to_host(&self, host: IpAddr) -> Option<Token> {
+        let of_host = self.conns.iter().filter(|(_, c)| c.peer == host && !c.is_health_check());
+        let rank = |c: &Client| (c.confirms_releases, c.is_caller, c.last_active_at);
+        of_host.max_by_key(|(_, c)| rank(c)).map(|(token, _)| token)
+    }
+
     /// Sends the releases again that were sent on a connection before it turned out to be a health check.
     pub(super) fn resend_releases_of_health_check(&mut self, token: Token, cx: &mut Context) {
         let Some(client) = self.conns.get_mut(token).filter(|c| c.is_health_check()) else {
--- a/node/src/net/exchanges/liveness.rs
+++ b/node/src/net/exchanges/liveness.rs
@@ -34,6 +34,9 @@
     /// Executes a request of the engine to the connections to an exchange.
     pub fn handle_connection_request(&mut self, request: ConnectionRequest, cx: &mut Context) {
         match request {
+            // The calls are released before a check could show that their process is dead, and a new connection would
+            // take releases that the exchange repeats to the next process.
+            ConnectionRequest::Check(..) if cx.lifecycle.stops_without_successor() => {}
             ConnectionRequest::Check(exchange, incarnation) => {
                 self.start_check(exchange, incarnation, cx)
             }
--- a/node/src/net/exchanges/mod.rs
+++ b/node/src/net/exchanges/mod.rs
@@ -185,6 +185,11 @@
         self.connections.iter().all(|(_, c)| !c.socket.is_connected() || c.socket.is_flushed())
     }
 
+    /// Whether releases wait for a connection to an exchange.
+    pub fn has_pending_releases(&self) -> bool {
+        self.peers.values().any(|p| !p.pending_releases.is_empty())
+    }
+
     /// Applies an entry of the exchange list. An exchange that is gone is removed.
     pub fn apply_list_entry(
         &mut self,
@@ -747,10 +752,10 @@
                     "release-unmatched",
                     format_args!("call={} exchange={name}", message.tag),
                 );
-                let is_normal = message.rc == Some(CAUSE_ENDED);
-                let cause = if is_normal { ReleaseCause::Normal } else { ReleaseCause::Dropped };
-                let release = UnmatchedRelease { tag: message.tag, exchange: name, cause };
-                self.unmatched_releases.push(release);
+                if let Some(cause) = established_release_cause(message.rc) {
+                    let release = UnmatchedRelease { tag: message.tag, exchange: name, cause };
+                    self.unmatched_releases.push(release);
+                }
             }
             ("STARTED", None) => {}
             ("PENDING" | "FINISHED" | "LOAD" | "ECHOED", _) => {}
@@ -836,6 +841,15 @@
     }
 }
 
+/// The cause of a release that an exchange may send for an established call. The others refuse a set-up.
+fn established_release_cause(rc: Option<u32>) -> Option<ReleaseCause> {
+    match rc {
+        Some(CAUSE_ENDED) => Some(ReleaseCause::Normal),
+        Some(CAUSE_DROPPED) => Some(ReleaseCause::Dropped),
+        _ => None,
+    }
+}
+
 /// Maps a release by an exchange to the end reason of the attempt.
 fn release_reason(rc: Option<u32>, note: &str, is_established: bool) -> EndReason {
     match (rc, note) {
--- a/node/src/net/lifecycle.rs
+++ b/node/src/net/lifecycle.rs
@@ -89,6 +89,11 @@
         self.replaced && self.is_stopping()
     }
 
+    /// Whether a graceful shutdown was requested and no other process takes over the calls.
+    pub fn stops_without_successor(&self) -> bool {
+        self.is_stopping() && !self.replaced
+    }
+
     /// How client connections are treated at the time `now`.
     pub fn client_policy(&self, now: Duration) -> ClientPolicy {
         match self.draining_since {
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -325,6 +325,7 @@
                             reloads,
                             pending_releases: clients.pending_release_count(),
                             unmatched_releases: exchanges.unmatched_release_count(),
+                            earlier_releases: clients.released_earlier_call_count(),
                         };
                         let answer = execute_operator_command(command, host_stats, &mut cx);
                         operators.answer(token, &answer, &mut cx);
@@ -394,7 +395,10 @@
             if clients.is_handing_over() {
                 cx.engine.release_superseded(now, cx.timers);
             } else {
-                cx.engine.release_suspected(now, cx.timers);
+                let is_reachable = |call| {
+                    clients.is_caller_reachable(call) || sip.as_ref().is_some_and(|s| s.has_call(call))
+                };
+                cx.engine.release_at_shutdown(now, is_reachable, cx.timers);
             }
         }
         if cx.lifecycle.ends_dialogs(now) && cx.engine.unanswered_calls() == 0 {
@@ -446,6 +450,7 @@
             let is_flushed = clients.is_flushed()
                 && clients.pending_release_count() == 0
                 && exchanges.is_flushed()
+                && !exchanges.has_pending_releases()
                 && handover.is_received()
                 && sip_settled
                 && operators_flushed;
--- a/node/src/stats.rs
+++ b/node/src/stats.rs
@@ -23,6 +23,8 @@
     pub pending_releases: usize,
     /// Releases from exchanges under an id that no call or attempt has.
     pub unmatched_releases: u64,
+    /// Of these, the releases of calls that an earlier process has established.
+    pub earlier_releases: u64,
 }
 
 /// Formats the statistics; `classes` are the names of the classes in the order of the settings.
@@ -53,6 +55,7 @@
         ("adverse_observations", stats.adverse_observations),
         ("pending_releases", host.pending_releases as u64),
         ("unmatched_releases", host.unmatched_releases),
+        ("earlier_releases", host.earlier_releases),
     ];
     for (name, count) in totals {
         let _ = write!(out, ",\"{name}\":{count}");
@@ -99,8 +102,9 @@
         };
         let classes = ["voice".to_owned(), "a \"b\"\n".to_owned()];
         let reloads = Reloads { applied: 2, rejected: 1 };
-        let host = HostStats { reloads, pending_releases: 7, unmatched_releases: 9 };
+        let host =
+            HostStats { reloads, pending_releases: 7, unmatched_releases: 9, earlier_releases: 5 };
         let line = json(&stats, host, &classes);
-        insta::assert_snapshot!(line, @r#"{"results":{"voice":{"succeeded":8,"declined":2,"aborted":1},"a \"b\"\n":{"succeeded":8,"declined":2,"aborted":1}},"forwards":14,"outstanding":3,"adopted":6,"discovered":5,"ejected":1,"sighup_applied":2,"sighup_rejected":1,"standing":2,"retries":3,"checks":6,"adverse_observations":2,"pending_releases":7,"unmatched_releases":9,"releases":{"cut":1,"ended":5},"attempt_ends":{"timed out":4}}"#);
+        insta::assert_snapshot!(line, @r#"{"results":{"voice":{"succeeded":8,"declined":2,"aborted":1},"a \"b\"\n":{"succeeded":8,"declined":2,"aborted":1}},"forwards":14,"outstanding":3,"adopted":6,"discovered":5,"ejected":1,"sighup_applied":2,"sighup_rejected":1,"standing":2,"retries":3,"checks":6,"adverse_observations":2,"pending_releases":7,"unmatched_releases":9,"earlier_releases":5,"releases":{"cut":1,"ended":5},"attempt_ends":{"timed out":4}}"#);
     }
 }
--- a/node/tests/lines.rs
+++ b/node/tests/lines.rs
@@ -551,7 +551,9 @@
     daemon.send_sigterm();
     let started_at = Instant::now();
     assert!(daemon.exits_successfully());
-    daemon.wait_for_log("stopped: 1 calls stand");
+    daemon.wait_for_log("why=\"shut down\"");
+    daemon.wait_for_log("stopped: 0 calls stand");
+    assert!(client.receive().contains(r#""rc":41"#), "the caller is not released");
     assert!(started_at.elapsed() > Duration::from_secs(3), "the daemon did not wait for the release");
 }
 
