--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -53,7 +53,7 @@
     Client,
     /// A connection to an exchange.
     Exchange,
-    /// The connection to the journal service.
+    /// A connection to the journal service.
     Journal,
     /// The SIP front's UDP socket.
     SipDatagrams,
@@ -113,12 +113,12 @@
     RepeatsTimeout(Token),
     /// An exchange is dialled again.
     Redial(ExchangeId),
-    /// The journal service is dialled again; with the generation of its connection.
-    JournalRedial(u64),
-    /// The connection to the journal service must be established by now; with its generation.
+    /// The journal service is dialled again.
+    JournalRedial,
+    /// A connection to the journal service must be established by now; with its generation.
     JournalDialTimeout(u64),
-    /// The journal service must have sent a line by now; with the generation of its connection.
-    JournalIdleTimeout(u64),
+    /// A connection to the journal service may have been silent for too long; with its generation.
+    JournalSilence(u64),
     /// A timer of the SIP front.
     Sip(SipTimer),
     /// The SIP front's TCP listener may accept again.
@@ -323,6 +323,7 @@
                     if let Some(command) = operators.ready(token, &mut cx) {
                         let host_stats = HostStats {
                             reloads,
+                            journal: journal.stats(),
                             pending_releases: clients.pending_release_count(),
                             unmatched_releases: exchanges.unmatched_release_count(),
                             earlier_releases: clients.released_earlier_call_count(),
@@ -371,13 +372,11 @@
                 TimerEvent::DialTimeout(token) => exchanges.dial_timeout_due(token, &mut cx),
                 TimerEvent::HandoverPoll => handover.poll(&mut clients, &mut exchanges, &mut cx),
                 TimerEvent::Redial(exchange) => exchanges.redial_due(exchange, &mut cx),
-                TimerEvent::JournalRedial(generation) => journal.redial_due(generation, &mut cx),
+                TimerEvent::JournalRedial => journal.redial_due(&mut cx),
                 TimerEvent::JournalDialTimeout(generation) => {
                     journal.dial_timeout_due(generation, &mut cx)
                 }
-                TimerEvent::JournalIdleTimeout(generation) => {
-                    journal.idle_timeout_due(generation, &mut cx)
-                }
+                TimerEvent::JournalSilence(generation) => journal.silence_due(generation, &mut cx),
                 TimerEvent::Sip(sip_timer) => {
                     sip.iter_mut().for_each(|s| s.timer_due(sip_timer, &mut cx))
                 }
--- a/node/src/stats.rs
+++ b/node/src/stats.rs
@@ -1,6 +1,7 @@
 //! The statistics for operators, as JSON on one line.
 
 use crate::engine::Stats;
+use crate::net::journal::JournalStats;
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use tinyjson::JsonValue;
@@ -19,6 +20,8 @@
 pub struct HostStats {
     /// Reloads of the configuration.
     pub reloads: Reloads,
+    /// The connections to the journal service.
+    pub journal: JournalStats,
     /// Releases towards callers that wait for a connection.
     pub pending_releases: usize,
     /// Releases from exchanges under an id that no call or attempt has.
@@ -49,6 +52,9 @@
         ("ejected", stats.ejected as u64),
         ("sighup_applied", host.reloads.applied),
         ("sighup_rejected", host.reloads.rejected),
+        ("journal_event", host.journal.position),
+        ("journal_dials", host.journal.dials),
+        ("journal_unserved", host.journal.unserved),
         ("standing", stats.established as u64),
         ("retries", stats.retries),
         ("checks", stats.checks),
@@ -102,9 +108,14 @@
         };
         let classes = ["voice".to_owned(), "a \"b\"\n".to_owned()];
         let reloads = Reloads { applied: 2, rejected: 1 };
-        let host =
-            HostStats { reloads, pending_releases: 7, unmatched_releases: 9, earlier_releases: 5 };
+        let host = HostStats {
+            reloads,
+            journal: JournalStats { position: 41, dials: 3, unserved: 1 },
+            pending_releases: 7,
+            unmatched_releases: 9,
+            earlier_releases: 5,
+        };
         let line = json(&stats, host, &classes);
-        insta::assert_snapshot!(line, @r#"{"results":{"voice":{"succeeded":8,"declined":2,"aborted":1},"a \"b\"\n":{"succeeded":8,"declined":2,"aborted":1}},"forwards":14,"outstanding":3,"adopted":6,"discovered":5,"ejected":1,"sighup_applied":2,"sighup_rejected":1,"standing":2,"retries":3,"checks":6,"adverse_observations":2,"pending_releases":7,"unmatched_releases":9,"earlier_releases":5,"releases":{"cut":1,"ended":5},"attempt_ends":{"timed out":4}}"#);
+        insta::assert_snapshot!(line, @r#"{"results":{"voice":{"succeeded":8,"declined":2,"aborted":1},"a \"b\"\n":{"succeeded":8,"declined":2,"aborted":1}},"forwards":14,"outstanding":3,"adopted":6,"discovered":5,"ejected":1,"sighup_applied":2,"sighup_rejected":1,"journal_event":41,"journal_dials":3,"journal_unserved":1,"standing":2,"retries":3,"checks":6,"adverse_observations":2,"pending_releases":7,"unmatched_releases":9,"earlier_releases":5,"releases":{"cut":1,"ended":5},"attempt_ends":{"timed out":4}}"#);
     }
 }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -417,6 +417,11 @@
     pub fn accept(&self) -> LinePeer {
         LinePeer::accept(&self.listener)
     }
+
+    /// Waits for the daemon to connect, for a time.
+    pub fn accept_within(&self, timeout: Duration) -> Option<LinePeer> {
+        LinePeer::accept_within(&self.listener, timeout)
+    }
 }
 
 enum SipSocket {
