Never turn away the BYE or CANCEL of a call that exists for lack of SIP transactions

Cause: a full table of transactions rejected any new request before it was looked at. The sender of a BYE has to consider the dialog ended and does not repeat it. The table counted entries at 4 KiB each, whatever they kept. Evidence: "sip-full: BYE" in the log. Over TCP, a release that needed a connection wasn't sent while idle ones took up the limit.

Change: requests that end a call get a transaction always, at most one of each for a leg; others are rejected without one. Transactions and legs are limited by the memory that they take, and let go what is not sent again. An eighth of the TCP connections is left for those opened here, and idle ones make way for others.

Why it works: what ends a call is bounded by the calls that were admitted, so it needs no admission of its own.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -99,6 +99,12 @@
         self.sockets / 4
     }
 
+    /// Number of SIP connections from which on none is accepted unless an idle one can be closed. The others are left
+    /// for requests that are sent on connections opened from here.
+    pub fn max_accepted_sip_streams(&self) -> usize {
+        self.max_sip_streams() * 7 / 8
+    }
+
     /// Buffer limits of a SIP connection.
     pub fn sip_buffer_limits(&self) -> BufferLimits {
         let each = self.memory_bytes / 4 / self.sockets.max(1);
@@ -108,10 +114,10 @@
         }
     }
 
-    /// Maximum number of SIP transactions, and also of SIP call legs: an eighth of the memory, at 4 KiB each,
-    /// which includes the messages kept for retransmission.
-    pub fn max_transactions(&self) -> usize {
-        (self.memory_bytes / 8 / 4096).max(256)
+    /// Memory that the SIP transactions may take, and also the SIP call legs, from which on new requests are rejected.
+    /// That includes the messages kept for retransmission.
+    pub fn max_sip_table_bytes(&self) -> usize {
+        (self.memory_bytes / 8).max(1024 * 1024)
     }
 
     /// Maximum number of ids of received set-ups that are recorded after the start: a 64th of the memory, at 32 bytes
--- a/node/src/net/sip/commands.rs
+++ b/node/src/net/sip/commands.rs
@@ -2,7 +2,7 @@
 
 use super::dialog::Dialog;
 use super::message;
-use super::{Leg, LegState, Party, Sip, SipTimer, ALLOW};
+use super::{Leg, LegState, Party, Sip, SipTimer, ALLOW, LEG_OVERHEAD_BYTES};
 use crate::arena::Token;
 use crate::end::EndReason;
 use crate::engine::{AttemptToken, CallInfo, Command};
@@ -123,7 +123,7 @@
         );
         cx.engine.count_forwards(1);
         let dialog_key = (dialog.call_id.clone(), local_tag);
-        let leg_token = self.legs.insert(Leg {
+        let leg_token = self.insert_leg(Leg {
             party: Party::Exchange(attempt),
             state: LegState::Pending,
             dialog,
@@ -136,6 +136,7 @@
             state_changed_at: cx.now,
             last_checked_at: cx.now,
             bye_after_ack: false,
+            held_bytes: LEG_OVERHEAD_BYTES,
         });
         self.legs_by_attempt.insert(attempt, leg_token);
         self.legs_by_dialog.insert(dialog_key, leg_token);
@@ -214,15 +215,18 @@
                 description,
             );
             leg.retransmission = Rc::from(bytes.as_slice());
+            leg.invite_headers = Headers::new();
             leg.state = LegState::AwaitingAck;
             leg.state_changed_at = cx.now;
             cx.timers.schedule(
                 cx.now + leg.retransmit_interval,
                 TimerEvent::Sip(SipTimer::RetransmitAnswer(leg_token)),
             );
+            let invite_transaction = leg.invite_transaction;
+            self.set_message_bytes(leg_token, bytes.len());
             self.transactions.send_response(
                 cx.now,
-                leg.invite_transaction,
+                invite_transaction,
                 200,
                 bytes,
                 &mut self.pending_output,
@@ -289,6 +293,11 @@
         if leg.state != LegState::Terminated {
             leg.state = LegState::Terminated;
             leg.state_changed_at = cx.now;
+            leg.invite_headers = Headers::new();
+            if matches!(leg.party, Party::Caller(_)) {
+                leg.retransmission = Rc::from([]);
+                self.set_message_bytes(leg_token, 0);
+            }
             let remove_at = cx.now + self.config.times.transaction_timeout() + self.config.times.t4;
             cx.timers.schedule(remove_at, TimerEvent::Sip(SipTimer::RemoveLeg(leg_token)));
         }
@@ -297,6 +306,7 @@
     /// Removes the state of a terminated leg.
     pub(super) fn remove_leg(&mut self, leg_token: Token) {
         if let Some(leg) = self.legs.remove(leg_token) {
+            self.held_leg_bytes -= leg.held_bytes;
             self.legs_by_dialog.remove(&(leg.dialog.call_id, leg.dialog.local_tag));
             self.legs_by_invite.remove(&leg.invite_transaction);
             // A cancelled INVITE that never got a final response has no timer left that ends its transaction.
--- a/node/src/net/sip/dialog.rs
+++ b/node/src/net/sip/dialog.rs
@@ -90,6 +90,13 @@
         self.route_set = routes.iter().map(|r| r.default_print_ctx().to_string()).collect();
     }
 
+    /// Length of all texts of the dialog.
+    pub fn text_bytes(&self) -> usize {
+        let tags = [&self.call_id, &self.local_tag, &self.remote_tag];
+        let parties = [&self.local_party, &self.remote_party, &self.remote_target];
+        tags.into_iter().chain(parties).chain(&self.route_set).map(String::len).sum()
+    }
+
     /// Writes a request within the dialog. An ACK has the sequence number of its INVITE; any other request has the
     /// next one.
     pub fn request(&mut self, method: &str, via: &str, contact: &str) -> Vec<u8> {
--- a/node/src/net/sip/incoming.rs
+++ b/node/src/net/sip/incoming.rs
@@ -2,8 +2,8 @@
 
 use super::dialog::Dialog;
 use super::message::{self, Message};
-use super::transaction::{ReceiveResult, Target};
-use super::{Leg, LegState, Party, Sip, ALLOW};
+use super::transaction::{Admission, ReceiveResult, Target};
+use super::{Leg, LegState, Party, Sip, ALLOW, LEG_OVERHEAD_BYTES};
 use crate::arena::Token;
 use crate::config::{SipConfig, SipNumber};
 use crate::end::EndReason;
@@ -22,6 +22,10 @@
 /// may have ended.
 const FULL_RETRY_AFTER_SECS: &str = "5";
 
+/// Copies of a received INVITE that are kept until its final response: its header fields, the description, and the
+/// INVITE to the exchange.
+const KEPT_INVITE_COPIES: usize = 3;
+
 impl Sip {
     /// Handles a received request.
     pub(super) fn handle_request(
@@ -31,25 +35,23 @@
         source: Target,
         cx: &mut Context,
     ) {
+        let leg_token = self.leg_of_request(&request);
+        let admission = match self.ends_call(&request, &method, leg_token) {
+            true => Admission::Always,
+            false => Admission::IfRoom,
+        };
         match self.transactions.receive_request(
             cx.now,
             &request,
             &method,
             source,
+            admission,
             &mut self.pending_output,
         ) {
             ReceiveResult::Request(transaction) => {
                 let respond = |sip: &mut Self, status, extra_headers: &[(&str, &str)]| {
                     sip.respond(transaction, &request.headers, status, extra_headers, cx.now);
                 };
-                let to_tag = request.to.tag.as_ref().map(|t| t.to_string());
-                let leg_token = to_tag
-                    .and_then(|tag| self.legs_by_dialog.get(&(request.call_id.clone(), tag)).copied());
-                let from_tag = request.from.tag.as_ref().map_or("", |t| t);
-                let is_from_peer = |token: &Token| {
-                    self.legs.get(*token).is_some_and(|leg| leg.dialog.remote_tag == from_tag)
-                };
-                let leg_token = leg_token.filter(is_from_peer);
                 let has_to_tag = request.to.tag.is_some();
                 if request.header(Name::MAX_FORWARDS).is_some_and(|h| h == "0") {
                     respond(self, 483, &[]);
@@ -79,17 +81,55 @@
                 }
             }
             ReceiveResult::Ack => self.handle_ack(&request, cx),
-            ReceiveResult::TableFull => {
-                cx.log.line(cx.now, "sip-full", format_args!("{method} from {}", source.addr));
-                let tag = self.random_id();
-                let extra_headers = [("Retry-After", FULL_RETRY_AFTER_SECS)];
-                let bytes = message::response(&request.headers, 503, &tag, &extra_headers, "");
-                let _ = self.transport.send(source, &bytes, cx);
-            }
+            ReceiveResult::TableFull => self.reject_without_transaction(&request, &method, source, cx),
             ReceiveResult::Response(_) | ReceiveResult::Absorbed | ReceiveResult::Stray => {}
         }
     }
 
+    /// The leg of the dialog that a request belongs to.
+    fn leg_of_request(&self, request: &Message) -> Option<Token> {
+        let to_tag = request.to.tag.as_ref()?.to_string();
+        let leg_token = *self.legs_by_dialog.get(&(request.call_id.clone(), to_tag))?;
+        let from_tag = request.from.tag.as_ref().map_or("", |t| t);
+        self.legs.get(leg_token).filter(|leg| leg.dialog.remote_tag == from_tag)?;
+        Some(leg_token)
+    }
+
+    /// Whether a request ends a call: the BYE of a dialog, or the CANCEL of an INVITE without a final response. It is
+    /// never rejected for lack of room, as its sender need not repeat it (RFC 3261, section 15.1.1).
+    fn ends_call(&self, request: &Message, method: &Method, leg_token: Option<Token>) -> bool {
+        let leg = leg_token.and_then(|token| self.legs.get(token));
+        match *method {
+            Method::BYE => leg.is_some_and(|leg| leg.state != LegState::Terminated),
+            Method::CANCEL => self
+                .transactions
+                .invite_of_cancel(request)
+                .is_some_and(|invite| self.transactions.awaits_final_response(invite)),
+            _ => false,
+        }
+    }
+
+    /// Answers a request for which there is no room. A BYE and a CANCEL get the answer that they would get with a
+    /// transaction, too, as they concern no call that exists here.
+    fn reject_without_transaction(
+        &mut self,
+        request: &Message,
+        method: &Method,
+        source: Target,
+        cx: &mut Context,
+    ) {
+        cx.log.line(cx.now, "sip-full", format_args!("{method} from {}", source.addr));
+        let tag = self.random_id();
+        let bytes = match *method {
+            Method::BYE | Method::CANCEL => message::response(&request.headers, 481, &tag, &[], ""),
+            _ => {
+                let extra_headers = [("Retry-After", FULL_RETRY_AFTER_SECS)];
+                message::response(&request.headers, 503, &tag, &extra_headers, "")
+            }
+        };
+        let _ = self.transport.send(source, &bytes, cx);
+    }
+
     /// Sends a response without a body in a server transaction.
     pub(super) fn respond(
         &mut self,
@@ -112,7 +152,8 @@
         source: Target,
         cx: &mut Context,
     ) {
-        if self.legs.len() >= self.max_legs {
+        let needed_bytes = LEG_OVERHEAD_BYTES + KEPT_INVITE_COPIES * invite.length;
+        if self.held_leg_bytes + needed_bytes > self.max_leg_bytes {
             cx.log.line(cx.now, "sip-full", format_args!("INVITE from {}", source.addr));
             return self.respond(
                 transaction,
@@ -163,7 +204,7 @@
         let dialog = Dialog::for_uas(invite, &local_tag, source);
         let dialog_key = (dialog.call_id.clone(), local_tag);
         let call = cx.engine.new_call(cx.now, incoming_call, cx.timers);
-        let leg_token = self.legs.insert(Leg {
+        let leg_token = self.insert_leg(Leg {
             party: Party::Caller(call),
             state: LegState::Pending,
             dialog,
@@ -176,6 +217,7 @@
             state_changed_at: cx.now,
             last_checked_at: cx.now,
             bye_after_ack: false,
+            held_bytes: needed_bytes,
         });
         self.legs_by_call.insert(call, leg_token);
         self.legs_by_dialog.insert(dialog_key, leg_token);
@@ -242,7 +284,10 @@
         if let Some(leg) = self.legs.get_mut(leg_token).filter(|leg| leg.state == LegState::AwaitingAck)
         {
             leg.state = LegState::Confirmed;
-            if leg.bye_after_ack {
+            leg.retransmission = Rc::from([]);
+            let bye_after_ack = leg.bye_after_ack;
+            self.set_message_bytes(leg_token, 0);
+            if bye_after_ack {
                 self.send_bye(leg_token, cx);
             }
         }
@@ -327,6 +372,8 @@
             leg.dialog.update_from_answer(response);
             leg.retransmission = leg.dialog.request("ACK", &via, &contact).into();
             let _ = self.transport.send(leg.dialog.next_hop, &leg.retransmission, cx);
+            let message_bytes = leg.retransmission.len();
+            self.set_message_bytes(leg_token, message_bytes);
         }
     }
 
--- a/node/src/net/sip/message.rs
+++ b/node/src/net/sip/message.rs
@@ -32,6 +32,8 @@
     pub cseq: CSeq,
     /// The body.
     pub body: Bytes,
+    /// Length of the message that was received. The header fields and the body keep all of it.
+    pub length: usize,
 }
 
 /// Why a message is rejected.
@@ -128,7 +130,7 @@
             return Err(malformed(headers, "Content-Length is malformed or exceeds the body".into()))
         }
     };
-    Ok(Message { line, headers, via, from, to, call_id, cseq, body })
+    Ok(Message { line, headers, via, from, to, call_id, cseq, body, length: input.len() })
 }
 
 impl Message {
--- a/node/src/net/sip/mod.rs
+++ b/node/src/net/sip/mod.rs
@@ -28,6 +28,8 @@
 
 /// Maximum datagrams received per iteration of the event loop.
 const MAX_DATAGRAMS_PER_ITERATION: usize = 64;
+/// Memory that a leg takes besides its messages: its state, its dialog and its keys.
+const LEG_OVERHEAD_BYTES: usize = 2048;
 /// Value of the Allow header field: the supported methods.
 const ALLOW: &str = "INVITE, ACK, CANCEL, BYE, OPTIONS";
 
@@ -42,6 +44,15 @@
     RemoveLeg(Token),
 }
 
+/// What a stream is used for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum StreamUse {
+    /// For established calls. Their requests can be sent on another stream.
+    Established,
+    /// For a response or an ACK that is awaited or owed.
+    Needed,
+}
+
 /// State of a leg.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum LegState {
@@ -70,14 +81,14 @@
     /// The transaction of its INVITE.
     invite_transaction: Token,
     /// Caller's leg: the header fields of the INVITE, from which its final response is built. The response is sent
-    /// in `invite_transaction`.
+    /// in `invite_transaction`. Empty after that.
     invite_headers: Headers,
     /// Exchange's leg: the parts of the INVITE that a CANCEL repeats.
     sent_invite: Option<Rc<SentInvite>>,
     /// Exchange's leg: a CANCEL has been sent.
     cancel_sent: bool,
-    /// The message to retransmit: the 2xx to the caller, or the ACK of a 2xx to the exchange. Empty until
-    /// that message is written.
+    /// The message to retransmit: the 2xx to the caller until its ACK arrives, or the ACK of a 2xx to the exchange. Empty
+    /// until that message is written.
     retransmission: Rc<[u8]>,
     /// Caller's leg: the current retransmission interval of the 2xx.
     retransmit_interval: Duration,
@@ -87,6 +98,8 @@
     last_checked_at: Duration,
     /// Caller's leg: the call was released before the ACK arrived, so that the BYE is sent after the ACK.
     bye_after_ack: bool,
+    /// Memory that the leg takes.
+    held_bytes: usize,
 }
 
 /// The SIP front.
@@ -95,9 +108,11 @@
     transport: Transport,
     transactions: Transactions,
     legs: Arena<Leg>,
-    /// While there are this many legs or more, new calls are rejected. Terminated legs count, too, until they are
+    /// While the legs take this much memory or more, new calls are rejected. Terminated legs count, too, until they are
     /// removed. Legs towards exchanges count as well, but a new one is always accepted.
-    max_legs: usize,
+    max_leg_bytes: usize,
+    /// Memory that the legs take.
+    held_leg_bytes: usize,
     /// The caller's leg of a call.
     legs_by_call: HashMap<CallToken, Token>,
     /// The exchange's leg of an attempt.
@@ -126,8 +141,9 @@
     ) -> io::Result<Self> {
         let transport = Transport::bind(config.udp, config.tcp, limits, registry)?;
         Ok(Sip {
-            transactions: Transactions::new(config.times, limits.max_transactions()),
-            max_legs: limits.max_transactions(),
+            transactions: Transactions::new(config.times, limits.max_sip_table_bytes()),
+            max_leg_bytes: limits.max_sip_table_bytes(),
+            held_leg_bytes: 0,
             config,
             transport,
             legs: Arena::default(),
@@ -150,6 +166,20 @@
         addresses.into_iter().flatten().collect::<Vec<_>>().join(", ")
     }
 
+    fn insert_leg(&mut self, leg: Leg) -> Token {
+        self.held_leg_bytes += leg.held_bytes;
+        self.legs.insert(leg)
+    }
+
+    /// Sets the memory that the messages of a leg take.
+    fn set_message_bytes(&mut self, leg_token: Token, message_bytes: usize) {
+        if let Some(leg) = self.legs.get_mut(leg_token) {
+            self.held_leg_bytes -= leg.held_bytes;
+            leg.held_bytes = LEG_OVERHEAD_BYTES + leg.dialog.text_bytes() + message_bytes;
+            self.held_leg_bytes += leg.held_bytes;
+        }
+    }
+
     /// Whether an exchange is reached over SIP.
     pub fn reaches_exchange(&self, number: ExchangeNumber) -> bool {
         self.config.exchanges.contains_key(&number)
@@ -243,7 +273,9 @@
         if std::mem::take(&mut self.may_have_datagrams) {
             self.receive_datagrams(cx);
         }
-        self.transport.resume_accept(cx);
+        if self.transport.take_may_have_connections() {
+            self.accept(cx);
+        }
         for token in self.transport.take_unread() {
             self.stream_ready(token, cx);
         }
@@ -251,7 +283,33 @@
 
     /// Accepts waiting connections.
     pub fn accept(&mut self, cx: &mut Context) {
-        self.transport.accept(cx);
+        let use_of_streams = match self.transport.is_near_limit() {
+            true => self.use_of_streams(),
+            false => HashMap::new(),
+        };
+        let rank = |stream_token| match use_of_streams.get(&stream_token) {
+            Some(StreamUse::Needed) => None,
+            other => Some(other.copied()),
+        };
+        self.transport.accept(rank, cx);
+    }
+
+    /// What the streams are used for. Those without a use are not contained.
+    fn use_of_streams(&self) -> HashMap<Token, StreamUse> {
+        let mut uses = HashMap::new();
+        for (_, leg) in self.legs.iter() {
+            let stream_use = match leg.state {
+                LegState::Pending | LegState::AwaitingAck => StreamUse::Needed,
+                LegState::Confirmed => StreamUse::Established,
+                LegState::Terminated => continue,
+            };
+            if let Some(stream_token) = leg.dialog.next_hop.conn {
+                let entry = uses.entry(stream_token).or_insert(stream_use);
+                *entry = (*entry).max(stream_use);
+            }
+        }
+        uses.extend(self.transactions.pending_connections().map(|conn| (conn, StreamUse::Needed)));
+        uses
     }
 
     /// Handles a stream that is readable or writable.
--- a/node/src/net/sip/transaction.rs
+++ b/node/src/net/sip/transaction.rs
@@ -125,6 +125,18 @@
     TableFull,
 }
 
+/// Whether a new request gets a transaction.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// Only while the table has room.
+    IfRoom,
+    /// Always: it ends a call that exists here. There is at most one such request for each call and side.
+    Always,
+}
+
+/// Memory that an entry of the table takes besides its messages: its state, its keys and its timers.
+pub const TRANSACTION_OVERHEAD_BYTES: usize = 1024;
+
 /// A client or server transaction.
 struct Transaction {
     kind: Kind,
@@ -142,6 +154,16 @@
     sent_invite: Option<Rc<SentInvite>>,
 }
 
+impl Transaction {
+    /// Memory that the transaction takes.
+    fn held_bytes(&self) -> usize {
+        let sent_invite_bytes = self.sent_invite.as_ref().map_or(0, |invite| invite.text_bytes());
+        // The key is kept twice.
+        let text_bytes = 2 * self.key.branch.len() + sent_invite_bytes;
+        TRANSACTION_OVERHEAD_BYTES + text_bytes + self.last_message.len()
+    }
+}
+
 /// The parts of a sent INVITE that its CANCEL, or the ACK of a non-2xx final response, repeats.
 #[derive(Debug)]
 pub struct SentInvite {
@@ -162,6 +184,12 @@
 }
 
 impl SentInvite {
+    /// Length of all parts.
+    fn text_bytes(&self) -> usize {
+        let fields = [&self.uri, &self.via, &self.from, &self.to, &self.call_id];
+        fields.into_iter().chain(&self.routes).map(String::len).sum()
+    }
+
     /// Writes the ACK of a non-2xx final response (`to` is the To of that response) or the CANCEL.
     pub fn ack_or_cancel(&self, method: &str, to: &str) -> Vec<u8> {
         let cseq = format!("{} {method}", self.cseq);
@@ -199,21 +227,37 @@
 /// The table of all client and server transactions.
 pub struct Transactions {
     times: Times,
-    /// While there are this many transactions or more, new requests received are rejected, since over UDP each would
-    /// be kept for 64 times T1. Requests sent from here are not limited.
-    max_transactions: usize,
+    /// While the transactions take this much memory or more, new requests received are rejected, since over UDP each
+    /// would be kept for 64 times T1. Requests sent from here are not limited.
+    max_bytes: usize,
+    /// Memory that the transactions take.
+    held_bytes: usize,
     table: Arena<Transaction>,
     tokens_by_key: HashMap<Key, Token>,
 }
 
 impl Transactions {
     /// Creates an empty table.
-    pub fn new(times: Times, max_transactions: usize) -> Self {
-        Transactions { times, max_transactions, table: Arena::default(), tokens_by_key: HashMap::new() }
+    pub fn new(times: Times, max_bytes: usize) -> Self {
+        let (table, tokens_by_key) = (Arena::default(), HashMap::new());
+        Transactions { times, max_bytes, held_bytes: 0, table, tokens_by_key }
+    }
+
+    /// Memory that the transactions take.
+    pub fn held_bytes(&self) -> usize {
+        self.held_bytes
+    }
+
+    /// Replaces the message that a transaction keeps for retransmission.
+    fn replace_message(held_bytes: &mut usize, transaction: &mut Transaction, message: Rc<[u8]>) {
+        *held_bytes += message.len();
+        *held_bytes -= transaction.last_message.len();
+        transaction.last_message = message;
     }
 
     fn insert(&mut self, transaction: Transaction) -> Token {
         let key = transaction.key.clone();
+        self.held_bytes += transaction.held_bytes();
         let token = self.table.insert(transaction);
         self.tokens_by_key.insert(key, token);
         token
@@ -222,6 +266,7 @@
     /// Removes a transaction from the table.
     pub fn terminate(&mut self, token: Token) {
         if let Some(transaction) = self.table.remove(token) {
+            self.held_bytes -= transaction.held_bytes();
             if self.tokens_by_key.get(&transaction.key) == Some(&token) {
                 self.tokens_by_key.remove(&transaction.key);
             }
@@ -264,6 +309,12 @@
         token
     }
 
+    /// The connections on which a response is awaited or owed.
+    pub fn pending_connections(&self) -> impl Iterator<Item = Token> + '_ {
+        let is_pending = |t: &Transaction| matches!(t.state, State::Trying | State::Proceeding);
+        self.table.iter().filter(move |(_, t)| is_pending(t)).filter_map(|(_, t)| t.target.conn)
+    }
+
     /// Records the connection that the last message of a transaction was sent on.
     pub fn record_connection(&mut self, token: Token, conn: Option<Token>) {
         if let Some(transaction) = self.table.get_mut(token) {
@@ -310,6 +361,10 @@
             return ReceiveResult::Stray;
         };
         let is_udp = transaction.target.protocol == Protocol::Udp;
+        if transaction.kind == Kind::InviteClient {
+            // An INVITE is not retransmitted after a response.
+            Self::replace_message(&mut self.held_bytes, transaction, Rc::from([]));
+        }
         match (transaction.kind, transaction.state, status) {
             (_, State::Trying | State::Proceeding, 100..=199) => {
                 transaction.state = State::Proceeding;
@@ -361,6 +416,7 @@
         message: &Message,
         method: &Method,
         source: Target,
+        admission: Admission,
         output: &mut Vec<Output>,
     ) -> ReceiveResult {
         let key = server_key(message, method);
@@ -395,7 +451,7 @@
         if *method == Method::ACK {
             return ReceiveResult::Ack;
         }
-        if self.table.len() >= self.max_transactions {
+        if admission == Admission::IfRoom && self.held_bytes >= self.max_bytes {
             return ReceiveResult::TableFull;
         }
         let kind = if *method == Method::INVITE { Kind::InviteServer } else { Kind::NonInviteServer };
@@ -458,8 +514,12 @@
         if !matches!(transaction.state, State::Trying | State::Proceeding) {
             return;
         }
-        transaction.last_message = bytes.into();
-        output.push(Output::Send(token, transaction.target, Rc::clone(&transaction.last_message)));
+        let message: Rc<[u8]> = bytes.into();
+        output.push(Output::Send(token, transaction.target, Rc::clone(&message)));
+        // The TU retransmits the 2xx to an INVITE.
+        let is_accepted = transaction.kind == Kind::InviteServer && (200..300).contains(&status);
+        let kept = if is_accepted { Rc::from([]) } else { message };
+        Self::replace_message(&mut self.held_bytes, transaction, kept);
         let is_udp = transaction.target.protocol == Protocol::Udp;
         let transaction_timeout = self.times.transaction_timeout();
         match (transaction.kind, status) {
--- a/node/src/net/sip/transport.rs
+++ b/node/src/net/sip/transport.rs
@@ -102,14 +102,20 @@
         }
     }
 
-    /// Accepts waiting connections, up to the limit of one iteration of the event loop.
-    pub fn accept(&mut self, cx: &mut Context) {
+    /// Accepts waiting connections, up to the limit of one iteration of the event loop. While there are too many,
+    /// `rank` tells which ones may be closed for them; see [`Transport::close_idle_stream`].
+    pub fn accept<R: Ord>(&mut self, rank: impl Fn(Token) -> Option<R>, cx: &mut Context) {
         for _ in 0..ACCEPT_BATCH {
             let Some(listener) = &self.tcp else {
                 return;
             };
             match listener.accept() {
-                Ok((stream, peer)) => drop(self.add_stream(stream, peer, true, cx)),
+                Ok((stream, peer)) => {
+                    if self.is_crowded() {
+                        self.close_idle_stream(&rank, cx);
+                    }
+                    let _ = self.add_stream(stream, peer, true, cx);
+                }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::ConnectionAborted => {}
@@ -123,12 +129,30 @@
         self.may_have_connections = true;
     }
 
-    /// Makes room for another stream: of the accepted streams without a complete message so far, closes the one that
-    /// has been silent for longest.
-    fn close_silent_stream(&mut self, cx: &mut Context) {
-        let silent_streams =
-            self.streams.iter().filter(|(_, s)| !s.is_in_use && s.last_received_at < cx.now);
-        if let Some((token, _)) = silent_streams.min_by_key(|(_, s)| s.last_received_at) {
+    /// Whether streams have to be closed before another one is accepted. The rest of the limit is left to streams that
+    /// are opened from here.
+    fn is_crowded(&self) -> bool {
+        self.streams.len() >= self.limits.max_accepted_sip_streams()
+    }
+
+    /// Whether the next connections may have to make room for each other.
+    pub fn is_near_limit(&self) -> bool {
+        self.streams.len() + ACCEPT_BATCH >= self.limits.max_accepted_sip_streams()
+    }
+
+    /// Makes room for another stream: closes one that `rank` does not protect by `None`, the one with the lowest rank
+    /// and, among equals, the one that has been silent for longest. Streams without a complete message so far come
+    /// first.
+    fn close_idle_stream<R: Ord>(&mut self, rank: impl Fn(Token) -> Option<R>, cx: &mut Context) {
+        let silent = self.streams.iter().filter(|(_, s)| s.last_received_at < cx.now);
+        let idle =
+            silent.filter(|(_, s)| s.conn.is_flushed() && !s.conn.has_partial_line() || !s.is_in_use);
+        let ranked = idle.filter_map(|(token, s)| {
+            let rank = if s.is_in_use { Some(rank(token)?) } else { None };
+            Some(((rank, s.last_received_at), token))
+        });
+        let selected = ranked.min_by(|(one, _), (other, _)| one.cmp(other)).map(|(_, token)| token);
+        if let Some(token) = selected {
             self.close(token, cx);
         }
     }
@@ -143,10 +167,11 @@
         cx: &mut Context,
     ) -> Option<Token> {
         let (now, registry, buffer_limits) = (cx.now, cx.registry, self.limits.sip_buffer_limits());
-        if self.streams.len() >= self.limits.max_sip_streams() {
-            self.close_silent_stream(cx);
-        }
-        if self.streams.len() >= self.limits.max_sip_streams() {
+        let max_streams = match is_connected {
+            true => self.limits.max_accepted_sip_streams(),
+            false => self.limits.max_sip_streams(),
+        };
+        if self.streams.len() >= max_streams {
             cx.log.line(
                 now,
                 "sip-too-many-streams",
@@ -246,11 +271,9 @@
         !self.unread.is_empty() || self.may_have_connections
     }
 
-    /// Accepts the connections left over from the last iteration.
-    pub fn resume_accept(&mut self, cx: &mut Context) {
-        if std::mem::take(&mut self.may_have_connections) {
-            self.accept(cx);
-        }
+    /// Takes whether connections are left over from the last iteration.
+    pub fn take_may_have_connections(&mut self) -> bool {
+        std::mem::take(&mut self.may_have_connections)
     }
 
     /// Takes the list of streams with more to read than the last iteration allowed.
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -262,6 +262,15 @@
         self.child.wait().expect("the process has ended");
     }
 
+    /// The most memory that the process has taken at a time.
+    pub fn peak_memory_bytes(&self) -> usize {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("the process is running");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("the peak is listed");
+        let kilobytes = line.split_whitespace().next().and_then(|n| n.parse::<usize>().ok());
+        kilobytes.expect("the peak is a number") * 1024
+    }
+
     /// Whether the process has not exited.
     pub fn is_running(&mut self) -> bool {
         self.child.try_wait().expect("the process status is read").is_none()
--- a/node/tests/transactions.rs
+++ b/node/tests/transactions.rs
@@ -25,7 +25,7 @@
     fn new(protocol: Protocol) -> Self {
         let ms = Duration::from_millis;
         let times = Times { t1: ms(500), t2: ms(4000), t4: ms(5000) };
-        let transactions = Transactions::new(times, MAX_TRANSACTIONS);
+        let transactions = Transactions::new(times, MAX_TRANSACTIONS * TRANSACTION_OVERHEAD_BYTES);
         TransactionHarness {
             transactions,
             protocol,
@@ -117,9 +117,20 @@
 
     /// Receives a request of a peer.
     fn receive_request(&mut self, method: Method) -> ReceiveResult {
+        self.receive_admitted_request(method, Admission::IfRoom)
+    }
+
+    fn receive_admitted_request(&mut self, method: Method, admission: Admission) -> ReceiveResult {
         let (parsed, target, mut outputs) =
             (parse(&request_bytes(&method.to_string())), self.target(), Vec::new());
-        let result = self.transactions.receive_request(self.now, &parsed, &method, target, &mut outputs);
+        let result = self.transactions.receive_request(
+            self.now,
+            &parsed,
+            &method,
+            target,
+            admission,
+            &mut outputs,
+        );
         self.handle_output(outputs);
         result
     }
@@ -272,6 +283,13 @@
         assert!(matches!(udp.receive_request(method), ReceiveResult::Request(_)));
     }
     assert_eq!(udp.receive_request(Method::REGISTER), ReceiveResult::TableFull);
+    assert!(
+        matches!(
+            udp.receive_admitted_request(Method::CANCEL, Admission::Always),
+            ReceiveResult::Request(_)
+        ),
+        "a request that ends a call is rejected"
+    );
     assert_eq!(
         udp.receive_request(Method::INVITE),
         ReceiveResult::Absorbed,
