Limit the memory that incomplete messages of all connections take together

Cause: each connection had a limit, all together had none, and receive buffers doubled.

Change: the buffers of line clients may take a quarter of the memory and those of SIP streams an eighth. Beyond that the connection with the largest ends, one with an unanswered set-up last. Receive buffers grow by what arrives.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -57,8 +57,17 @@
         (self.sockets / 64).clamp(1, 4)
     }
 
-    /// Buffer limits of a client connection. The buffers of all client connections together may use a quarter
-    /// of the memory.
+    /// Memory that the buffers of all client connections together may take.
+    pub fn max_client_buffer_bytes(&self) -> usize {
+        self.memory_bytes / 4
+    }
+
+    /// Memory that the buffers of all SIP connections together may take.
+    pub fn max_sip_buffer_bytes(&self) -> usize {
+        self.memory_bytes / 8
+    }
+
+    /// Buffer limits of a client connection.
     pub fn client_buffer_limits(&self) -> BufferLimits {
         let each = self.memory_bytes / 4 / self.sockets.max(1);
         BufferLimits {
--- a/node/src/end.rs
+++ b/node/src/end.rs
@@ -30,6 +30,8 @@
     MessageTooLong,
     /// The send buffer is full because the peer does not read.
     SendBufferFull,
+    /// The buffers of all connections together take too much memory, and those of this one the most.
+    BuffersFull,
     /// This side closed the connection.
     ClosedLocally,
     /// The attempt was not answered in time and was cancelled.
@@ -79,9 +81,8 @@
             | EndReason::PeerSilent
             | EndReason::MessageIncomplete => Outcome::Disconnected,
             EndReason::MalformedMessage | EndReason::MessageTooLong => Outcome::Disconnected,
-            EndReason::SendBufferFull | EndReason::ClosedLocally | EndReason::Overtaken => {
-                Outcome::Disconnected
-            }
+            EndReason::SendBufferFull | EndReason::BuffersFull => Outcome::Disconnected,
+            EndReason::ClosedLocally | EndReason::Overtaken => Outcome::Disconnected,
             EndReason::Dropped | EndReason::ExchangeDead | EndReason::ShutDown => Outcome::Reset,
             EndReason::TimedOut => Outcome::TimedOut,
             EndReason::Cancelled => Outcome::Cancelled,
@@ -117,6 +118,7 @@
             EndReason::MalformedMessage => "no message",
             EndReason::MessageTooLong => "message too long",
             EndReason::SendBufferFull => "peer takes nothing in",
+            EndReason::BuffersFull => "buffers full",
             EndReason::ClosedLocally => "closed here",
             EndReason::TimedOut => "timed out",
             EndReason::Overtaken => "overtaken",
--- a/node/src/net/clients.rs
+++ b/node/src/net/clients.rs
@@ -72,6 +72,8 @@
     timer_scheduled: bool,
     /// When its last event was handled; before that, when it was accepted.
     last_active_at: Duration,
+    /// Memory that its buffers took when they were last accounted for.
+    buffered_bytes: usize,
     /// Unconfirmed releases sent on this connection, with the times of sending. They may be lost if the
     /// client closes the connection before it reads them.
     unconfirmed_releases: Vec<(Duration, Release)>,
@@ -114,6 +116,8 @@
     listener: Option<TcpListener>,
     limits: Limits,
     conns: Arena<Client>,
+    /// Memory that the buffers of all connections take.
+    buffered_bytes: usize,
     calls: HashMap<CallToken, ClientCall>,
     /// Number of unanswered calls.
     unanswered_calls: usize,
@@ -146,6 +150,7 @@
             listener: Some(listener),
             limits,
             conns: Arena::default(),
+            buffered_bytes: 0,
             calls: HashMap::new(),
             unanswered_calls: 0,
             by_tag: HashMap::new(),
@@ -284,6 +289,7 @@
                 awaiting_since: Some(now),
                 timer_scheduled: true,
                 last_active_at: now,
+                buffered_bytes: 0,
                 unconfirmed_releases: Vec::new(),
             }
         });
@@ -337,11 +343,34 @@
 
     /// Handles an event on a connection: readable or writable.
     pub fn ready(&mut self, token: Token, cx: &mut Context) {
-        if let Err(end) = self.read(token, cx) {
+        let result = self.read(token, cx);
+        self.account_buffers(token);
+        if let Err(end) = result {
             self.end(token, end, cx);
         }
     }
 
+    /// Updates the memory that the buffers take by those of one connection.
+    fn account_buffers(&mut self, token: Token) {
+        if let Some(client) = self.conns.get_mut(token) {
+            let buffered_bytes = client.conn.buffered_bytes();
+            self.buffered_bytes += buffered_bytes;
+            self.buffered_bytes -= std::mem::replace(&mut client.buffered_bytes, buffered_bytes);
+        }
+    }
+
+    /// Ends connections until the buffers of the others take no more memory than allowed: those with the largest
+    /// buffers first, and those with an unanswered set-up last.
+    fn limit_buffers(&mut self, cx: &mut Context) {
+        while self.buffered_bytes > self.limits.max_client_buffer_bytes() {
+            let rank = |c: &Client| (c.unanswered == 0, c.buffered_bytes);
+            let Some((token, _)) = self.conns.iter().max_by_key(|(_, c)| rank(c)) else {
+                return;
+            };
+            self.end(token, EndReason::BuffersFull, cx);
+        }
+    }
+
     fn read(&mut self, token: Token, cx: &mut Context) -> Result<(), EndReason> {
         for _ in 0..MAX_READS_PER_ITERATION {
             let Some(client) = self.conns.get_mut(token) else {
@@ -587,6 +616,7 @@
                 self.connections_to_end.push((token, end));
             }
         }
+        self.account_buffers(token);
     }
 
     /// Ends the connections that failed during a send, and closes idle ones while draining or after a takeover.
@@ -594,6 +624,7 @@
         for (token, end) in std::mem::take(&mut self.connections_to_end) {
             self.end(token, end, cx);
         }
+        self.limit_buffers(cx);
         match cx.lifecycle.client_policy(cx.now) {
             lifecycle::ClientPolicy::Keep => {}
             lifecycle::ClientPolicy::Close(cutoff) | lifecycle::ClientPolicy::Refuse(cutoff) => {
@@ -629,6 +660,7 @@
             return;
         };
         let _ = cx.registry.deregister(&mut client.conn.stream);
+        self.buffered_bytes -= client.buffered_bytes;
         if !matches!(end, EndReason::PeerClosed | EndReason::ClosedLocally) {
             cx.log.line(cx.now, "client-ended", format_args!("{}: {end}", client.peer));
         }
--- a/node/src/net/conn.rs
+++ b/node/src/net/conn.rs
@@ -8,6 +8,9 @@
 
 /// Maximum bytes per read.
 const READ_CHUNK_BYTES: usize = 16 * 1024;
+/// Minimum number of bytes by which the receive buffer grows. It does not double, as many clients may each leave a
+/// large message incomplete.
+const MIN_INPUT_GROWTH_BYTES: usize = 1024;
 /// Maximum capacity that an empty buffer keeps. Without this limit, one burst on each of many connections
 /// would keep its memory allocated for as long as the connections last.
 const MAX_IDLE_BUFFER_BYTES: usize = 1024;
@@ -23,6 +26,8 @@
     input: Vec<u8>,
     /// Number of input bytes that have been returned as lines.
     consumed: usize,
+    /// Number of bytes after those that are known to contain no line feed.
+    scanned: usize,
     limits: BufferLimits,
     /// The send buffer.
     output: Vec<u8>,
@@ -54,6 +59,7 @@
             connected,
             input,
             consumed: 0,
+            scanned: 0,
             limits,
             output,
             written: 0,
@@ -97,6 +103,9 @@
         match read {
             Ok(0) => Err(EndReason::PeerClosed),
             Ok(n) => {
+                if self.input.capacity() - self.input.len() < n {
+                    self.input.reserve_exact(n.max(MIN_INPUT_GROWTH_BYTES));
+                }
                 self.input.extend_from_slice(&chunk[..n]);
                 Ok(n)
             }
@@ -117,14 +126,22 @@
     /// Removes the next complete line from the receive buffer and returns it without its line feed.
     pub fn next_line(&mut self) -> Result<Option<Vec<u8>>, EndReason> {
         let rest = &self.input[self.consumed..];
-        let end = rest.iter().position(|b| *b == b'\n');
+        let unscanned = &rest[self.scanned.min(rest.len())..];
+        let end =
+            unscanned.iter().position(|b| *b == b'\n').map(|end| rest.len() - unscanned.len() + end);
         if end.unwrap_or(rest.len()) > self.limits.max_line_bytes {
             return Err(EndReason::MessageTooLong);
         }
         let line = end.map(|end| rest[..end].to_vec());
         match &line {
-            Some(line) => self.consumed += line.len() + 1,
-            None => self.compact(),
+            Some(line) => {
+                self.consumed += line.len() + 1;
+                self.scanned = 0;
+            }
+            None => {
+                self.scanned = rest.len();
+                self.compact();
+            }
         }
         Ok(line)
     }
@@ -135,6 +152,11 @@
         self.consumed < self.input.len()
     }
 
+    /// Memory that both buffers take.
+    pub fn buffered_bytes(&self) -> usize {
+        self.input.capacity() + self.output.capacity()
+    }
+
     /// The receive buffer. After [`Conn::read_chunk`] it holds only unconsumed bytes.
     pub fn receive_buffer(&mut self) -> &mut Vec<u8> {
         &mut self.input
--- a/node/src/net/sip/mod.rs
+++ b/node/src/net/sip/mod.rs
@@ -111,6 +111,8 @@
     /// While the legs take this much memory or more, new calls are rejected. Terminated legs count, too, until they are
     /// removed. Legs towards exchanges count as well, but a new one is always accepted.
     max_leg_bytes: usize,
+    /// Memory that the buffers of all streams may take.
+    max_buffer_bytes: usize,
     /// Memory that the legs take.
     held_leg_bytes: usize,
     /// The caller's leg of a call.
@@ -143,6 +145,7 @@
         Ok(Sip {
             transactions: Transactions::new(config.times, limits.max_sip_table_bytes()),
             max_leg_bytes: limits.max_sip_table_bytes(),
+            max_buffer_bytes: limits.max_sip_buffer_bytes(),
             held_leg_bytes: 0,
             config,
             transport,
@@ -327,6 +330,20 @@
         if let Some(end_reason) = end_reason {
             self.stream_ended(token, end_reason, cx);
         }
+        self.limit_buffers(cx);
+    }
+
+    /// Ends streams until the buffers of the others take no more memory than allowed: those with the largest buffers
+    /// first, and those that are needed last.
+    fn limit_buffers(&mut self, cx: &mut Context) {
+        while self.transport.buffered_bytes() > self.max_buffer_bytes {
+            let uses = self.use_of_streams();
+            let is_needed = |token| uses.get(&token) == Some(&StreamUse::Needed);
+            let Some(token) = self.transport.largest_stream(|token| !is_needed(token)) else {
+                return;
+            };
+            self.stream_ended(token, EndReason::BuffersFull, cx);
+        }
     }
 
     /// Handles a timeout of a stream.
--- a/node/src/net/sip/transport.rs
+++ b/node/src/net/sip/transport.rs
@@ -266,6 +266,17 @@
         (messages, end_reason)
     }
 
+    /// Memory that the buffers of all streams take.
+    pub fn buffered_bytes(&self) -> usize {
+        self.streams.iter().map(|(_, s)| s.conn.buffered_bytes()).sum()
+    }
+
+    /// The stream whose buffers take the most memory, of those with the highest rank.
+    pub fn largest_stream<R: Ord>(&self, rank: impl Fn(Token) -> R) -> Option<Token> {
+        let key = |(token, s): &(Token, &Stream)| (rank(*token), s.conn.buffered_bytes());
+        self.streams.iter().max_by_key(key).map(|(token, _)| token)
+    }
+
     /// Whether streams or connections are left over from the last iteration of the event loop.
     pub fn has_unread(&self) -> bool {
         !self.unread.is_empty() || self.may_have_connections
