Bound the header fields of a SIP message, and keep only those that responses repeat

Cause: a leg kept all fields of its INVITE, each of which takes far more memory than its text.

Change: a message of more than 256 header fields is answered 400. A leg keeps copies of the fields that its responses repeat.

The test failed before (node/tests/memory.rs).

--- a/node/src/net/sip/incoming.rs
+++ b/node/src/net/sip/incoming.rs
@@ -209,7 +209,7 @@
             state: LegState::Pending,
             dialog,
             invite_transaction: transaction,
-            invite_headers: invite.headers.clone(),
+            invite_headers: message::response_headers(&invite.headers),
             sent_invite: None,
             cancel_sent: false,
             retransmission: Rc::from([]),
--- a/node/src/net/sip/message.rs
+++ b/node/src/net/sip/message.rs
@@ -13,6 +13,9 @@
 /// Maximum bytes of a message, over UDP and TCP.
 pub const MAX_MESSAGE_BYTES: usize = 65_535;
 
+/// Maximum number of header fields of a message. Each takes far more memory than its text.
+const MAX_HEADER_FIELDS: usize = 256;
+
 /// A received message, with the header fields that every message has.
 #[derive(Clone, Debug)]
 pub struct Message {
@@ -85,8 +88,13 @@
         None => Ok(None),
     };
     let first_line = as_text(lines.next())?.ok_or_else(|| unanswerable("first line is missing"))?;
-    let (mut headers, mut header_error) = (Headers::new(), None);
+    let (mut headers, mut header_error, mut field_count) = (Headers::new(), None, 0);
     while let Some(line) = as_text(lines.next())? {
+        field_count += 1;
+        if field_count > MAX_HEADER_FIELDS {
+            header_error = header_error.or(Some("too many header fields".to_owned()));
+            continue;
+        }
         match Line::parse(&source, line) {
             Ok((_, line)) => headers.insert(line.name, line.value),
             Err(_) => header_error = header_error.or(Some("a header line is malformed".to_owned())),
@@ -215,6 +223,17 @@
     uri.default_print_ctx().to_string()
 }
 
+/// The header fields of a request that its responses repeat, without the rest of the message.
+pub fn response_headers(request: &Headers) -> Headers {
+    let mut headers = Headers::new();
+    for name in [Name::VIA, Name::FROM, Name::TO, Name::CALL_ID, Name::CSEQ, Name::RECORD_ROUTE] {
+        for value in request.get_raw(&name) {
+            headers.insert(name.clone(), value.to_string());
+        }
+    }
+    headers
+}
+
 /// Copies all values of a header field in their order, one per line.
 fn copy_headers(text: &mut String, headers: &Headers, name: Name, label: &str) {
     for value in headers.get_raw(&name) {
--- a/node/tests/memory.rs
+++ b/node/tests/memory.rs
@@ -107,3 +107,16 @@
     harness.expect_within_limit();
 }
 
+/// Guards against calls over SIP whose very many short header fields are kept.
+#[test]
+fn calls_with_very_many_header_fields_stay_within_the_memory_limit() {
+    let mut harness = MemoryHarness::new();
+    let mut caller = SipPeer::udp(harness.daemon.sip_addr("udp"));
+    let fields = "a:b\r\n".repeat(LARGE_SIP_BYTES / 5 - 200);
+    for n in 0..300 {
+        caller.send(&sip_request("INVITE", &caller, n, "", &fields, "v=0\r\n"));
+        caller.receive_within(Duration::from_millis(5));
+    }
+    harness.expect_within_limit();
+}
+
