Keep no details of a call's set-up once it is answered

Cause: the engine and the connections to exchanges kept the caller's description until the end of the call, though only a set-up needs it.

Change: the answer replaces the details by the id alone.

The test failed before (node/tests/memory.rs).

--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -473,7 +473,10 @@
         let (call, number, delay) = (state.call, state.number, now.saturating_sub(state.sent_at));
         let (exchange, sent_at, is_direct) = (state.exchange, state.sent_at, state.is_direct);
         self.commands.push_back(Command::Answer(call, description));
-        if let Some(class) = self.calls.get(call.0).map(|c| c.class) {
+        if let Some(state) = self.calls.get_mut(call.0) {
+            // The details are only needed for further set-ups.
+            state.info = Rc::new(CallInfo::with_id(&state.info.id));
+            let class = state.class;
             self.count(class, |r| &mut r.succeeded);
         }
         if is_direct {
--- a/node/src/net/exchanges/mod.rs
+++ b/node/src/net/exchanges/mod.rs
@@ -728,8 +728,10 @@
             ("STARTED", Some(attempt)) => {
                 // An answer without a description is incomplete.
                 let description = message.blob.ok_or(EndReason::MalformedMessage)?;
-                if let Some(sent) = self.attempts.get(&attempt) {
-                    self.remove_unanswered(sent.connection, attempt);
+                if let Some(sent) = self.attempts.get_mut(&attempt) {
+                    sent.info = Rc::new(CallInfo::with_id(&sent.info.id));
+                    let connection = sent.connection;
+                    self.remove_unanswered(connection, attempt);
                 }
                 if !cx.engine.answered(cx.now, attempt, incarnation, description, cx.timers) {
                     cx.log.line(cx.now, "answer-twice", &message.tag);
--- a/node/tests/memory.rs
+++ b/node/tests/memory.rs
@@ -21,7 +21,7 @@
 /// The daemon with both fronts, a limit of 1,024 descriptors and one exchange over lines.
 struct MemoryHarness {
     daemon: Daemon,
-    _listener: TcpListener,
+    listener: TcpListener,
     _journal: StubJournal,
 }
 
@@ -35,7 +35,7 @@
              [[sip.number]]\nprefix = \"21\"\nexchange = 1\nclass = \"voice\"\n";
         let config = with_four_connections(&config_json(journal.addr, &servers));
         let daemon = Daemon::start(&config, Some(operator_file));
-        MemoryHarness { daemon, _listener: listener, _journal: journal }
+        MemoryHarness { daemon, listener, _journal: journal }
     }
 
     fn client_addr(&mut self) -> SocketAddr {
@@ -120,3 +120,24 @@
     harness.expect_within_limit();
 }
 
+/// Guards against established calls that keep the large descriptions with which they were set up.
+#[test]
+fn established_calls_with_large_descriptions_stay_within_the_memory_limit() {
+    let mut harness = MemoryHarness::new();
+    let mut exchanges: Vec<_> = (0..4).map(|_| LinePeer::accept(&harness.listener)).collect();
+    let mut client = harness.daemon.connect_client();
+    let description = "x".repeat(LARGE_LINE_BYTES - 300);
+    for n in 0..2000 {
+        let tag = format!("{n:016x}");
+        client.send(&format!(
+            r#"{{"verb":"START","tag":"{tag}","opts":{{"class":"voice","left":"3000","key":"{tag}","extras":"dest:1;width:1;via:-1"}},"blob":"{description}"}}"#
+        ));
+        let exchange = (0..exchanges.len()).cycle().find(|i| {
+            exchanges[*i].receive_within(Duration::from_millis(1)).is_some_and(|l| l.contains("START"))
+        });
+        let exchange = &mut exchanges[exchange.expect("the set-up is received")];
+        exchange.send(&format!(r#"{{"verb":"STARTED","tag":"{tag}","opts":{{}},"blob":"b"}}"#));
+        assert!(client.receive().contains("STARTED"));
+    }
+    harness.expect_within_limit();
+}
