Cancel the timers of calls and attempts that have ended

Cause: the timers of a call and of its attempt stayed until they were due, up to 9 s later, though both had ended.

Change: the timer queue can cancel a timer; the engine cancels those of calls and attempts that end or are answered.

The test in node/tests/engine.rs failed before.

--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -16,7 +16,7 @@
 use crate::end::EndReason;
 use crate::liveness::{Incarnation, Liveness};
 use crate::log_events::LogEvent;
-use crate::timers::TimerQueue;
+use crate::timers::{TimerKey, TimerQueue};
 use slateshed::*;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
@@ -202,6 +202,8 @@
     last_end: Option<EndReason>,
     /// Whether another process of this controller has set it up and handed it over.
     is_adopted: bool,
+    /// The timer of its answer deadline.
+    deadline_timer: Option<TimerKey>,
 }
 
 #[derive(Debug)]
@@ -220,6 +222,8 @@
     is_direct: bool,
     /// Number of direct set-ups that were sent later and answered earlier.
     overtaking_answers: u32,
+    /// The timer of its timeout.
+    timeout_timer: Option<TimerKey>,
 }
 
 #[derive(Debug)]
@@ -259,6 +263,8 @@
     adverse_observations: u64,
     /// Events that are not written to the log yet.
     log_events: VecDeque<LogEvent>,
+    /// Timers of calls and attempts that have ended. They are cancelled, as a flood of calls would leave very many.
+    obsolete_timers: Vec<TimerKey>,
     /// Requests that the fronts have not handled yet.
     connection_requests: VecDeque<ConnectionRequest>,
 }
@@ -288,6 +294,7 @@
             checks: 0,
             adverse_observations: 0,
             log_events: VecDeque::new(),
+            obsolete_timers: Vec::new(),
             connection_requests: VecDeque::new(),
         })
     }
@@ -410,8 +417,12 @@
             attempt: None,
             last_end: None,
             is_adopted: false,
+            deadline_timer: None,
         }));
-        timers.schedule(answer_by, EngineTimer::AnswerDeadline(call).into());
+        let timer = timers.schedule_cancellable(answer_by, EngineTimer::AnswerDeadline(call).into());
+        if let Some(state) = self.calls.get_mut(call.0) {
+            state.deadline_timer = Some(timer);
+        }
         let event = Event::Call(NewCall {
             call: CallId(call.0.bits()),
             class: incoming.class,
@@ -440,11 +451,11 @@
         let attempt = state.attempt;
         match attempt.and_then(|a| self.attempts.get(a.0)) {
             Some(attempt_state) if attempt_state.is_established => {
-                self.calls.remove(call.0);
+                self.remove_call(call);
                 self.end_attempt(now, attempt, EndReason::Cancelled, true, timers);
             }
             _ => {
-                self.calls.remove(call.0);
+                self.remove_call(call);
                 self.pending.push_back(Event::CallerAbandoned(CallId(call.0.bits())));
                 self.end_attempt(now, attempt, EndReason::Cancelled, true, timers);
             }
@@ -466,6 +477,7 @@
             return false;
         };
         (state.is_established, state.answered_at) = (true, now);
+        self.obsolete_timers.extend(state.timeout_timer.take());
         if let Some(entry) = self.exchanges.get_mut(&state.exchange) {
             state.incarnation = by.unwrap_or_else(|| entry.liveness.newest(now));
             entry.liveness.record_activity(now, state.incarnation);
@@ -476,6 +488,7 @@
         if let Some(state) = self.calls.get_mut(call.0) {
             // The details are only needed for further set-ups.
             state.info = Rc::new(CallInfo::with_id(&state.info.id));
+            self.obsolete_timers.extend(state.deadline_timer.take());
             let class = state.class;
             self.count(class, |r| &mut r.succeeded);
         }
@@ -532,7 +545,7 @@
             let cause =
                 if end == EndReason::Ended { ReleaseCause::Normal } else { ReleaseCause::Dropped };
             self.record_release(now, attempt, end);
-            self.calls.remove(call.0);
+            self.remove_call(call);
             self.commands.push_back(Command::ReleaseCaller(call, cause));
             self.remove_attempt(now, attempt, end, true);
         } else {
@@ -687,7 +700,7 @@
             self.remove_attempt(now, attempt, EndReason::TimedOut, false);
             self.handle_pending(now, timers);
         }
-        if let Some(removed) = self.calls.remove(call.0) {
+        if let Some(removed) = self.remove_call(call) {
             self.count(removed.class, |r| &mut r.declined);
             self.log_refusal(&removed);
             self.pending.push_back(Event::CallerAbandoned(CallId(call.0.bits())));
@@ -738,9 +751,23 @@
         self.handle_pending(now, timers);
     }
 
+    /// Removes a call from the table.
+    fn remove_call(&mut self, call: CallToken) -> Option<Call> {
+        let removed = self.calls.remove(call.0)?;
+        self.obsolete_timers.extend(removed.deadline_timer);
+        Some(removed)
+    }
+
+    /// Removes an attempt from the table.
+    fn take_attempt(&mut self, attempt: AttemptToken) -> Option<Attempt> {
+        let removed = self.attempts.remove(attempt.0)?;
+        self.obsolete_timers.extend(removed.timeout_timer);
+        Some(removed)
+    }
+
     /// Removes an attempt from the tables and reports its end to the controller.
     fn remove_attempt(&mut self, now: Duration, token: AttemptToken, end: EndReason, call_ended: bool) {
-        let Some(state) = self.attempts.remove(token.0) else {
+        let Some(state) = self.take_attempt(token) else {
             return;
         };
         if let Some(call) = self.calls.get_mut(state.call.0) {
@@ -804,6 +831,7 @@
             }
             self.actions = actions;
         }
+        self.obsolete_timers.drain(..).for_each(|timer| timers.cancel(timer));
     }
 
     /// Carries out one decision of the controller.
@@ -845,10 +873,8 @@
     /// Removes a call that gets its final answer, and cancels its attempt if there is one. Returns `None` if
     /// the call has ended already.
     fn remove_for_final_answer(&mut self, call: CallToken) -> Option<Call> {
-        let removed = self.calls.remove(call.0)?;
-        if let Some(attempt) =
-            removed.attempt.filter(|attempt| self.attempts.remove(attempt.0).is_some())
-        {
+        let removed = self.remove_call(call)?;
+        if let Some(attempt) = removed.attempt.filter(|attempt| self.take_attempt(*attempt).is_some()) {
             self.commands.push_back(Command::CancelAttempt(attempt));
         }
         Some(removed)
@@ -899,12 +925,16 @@
             incarnation: Incarnation::default(),
             is_direct,
             overtaking_answers: 0,
+            timeout_timer: None,
         };
         let attempt = AttemptToken(self.attempts.insert(attempt));
         if let Some(call) = self.calls.get_mut(token.0) {
             call.attempt = Some(attempt);
         }
-        timers.schedule(now + wait, EngineTimer::AttemptTimeout(attempt).into());
+        let timer = timers.schedule_cancellable(now + wait, EngineTimer::AttemptTimeout(attempt).into());
+        if let Some(state) = self.attempts.get_mut(attempt.0) {
+            state.timeout_timer = Some(timer);
+        }
         self.commands.push_back(Command::SetUp { attempt, exchange, info, wait });
     }
 }
--- a/node/src/engine/handover.rs
+++ b/node/src/engine/handover.rs
@@ -57,6 +57,7 @@
             attempt: None,
             last_end: None,
             is_adopted: true,
+            deadline_timer: None,
         }));
         let attempt = AttemptToken(self.attempts.insert(Attempt {
             call,
@@ -68,6 +69,7 @@
             incarnation,
             is_direct: false,
             overtaking_answers: 0,
+            timeout_timer: None,
         }));
         if let Some(state) = self.calls.get_mut(call.0) {
             state.attempt = Some(attempt);
@@ -102,7 +104,7 @@
         call: CallToken,
         timers: &mut TimerQueue<D>,
     ) {
-        let Some(attempt) = self.calls.remove(call.0).and_then(|c| c.attempt) else {
+        let Some(attempt) = self.remove_call(call).and_then(|c| c.attempt) else {
             return;
         };
         self.commands.push_back(Command::DiscardAttempt(attempt));
--- a/node/src/timers.rs
+++ b/node/src/timers.rs
@@ -3,12 +3,16 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Timers ordered by their due time. Timers are never cancelled: the owner of a timer ignores it if its token
+/// Identifies a scheduled timer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TimerKey(Duration, u64);
+
+/// Timers ordered by their due time. Most timers are not cancelled: the owner of a timer ignores it if its token
 /// is no longer valid when it is due.
 #[derive(Debug)]
 pub struct TimerQueue<T> {
     /// The timers by due time and by the order of scheduling.
-    timers: BTreeMap<(Duration, u64), T>,
+    timers: BTreeMap<TimerKey, T>,
     next_number: u64,
 }
 
@@ -21,13 +25,25 @@
 impl<T> TimerQueue<T> {
     /// Schedules a timer for the time `at`.
     pub fn schedule(&mut self, at: Duration, timer: T) {
-        self.timers.insert((at, self.next_number), timer);
+        self.schedule_cancellable(at, timer);
+    }
+
+    /// Schedules a timer for the time `at` that can be cancelled.
+    pub fn schedule_cancellable(&mut self, at: Duration, timer: T) -> TimerKey {
+        let key = TimerKey(at, self.next_number);
+        self.timers.insert(key, timer);
         self.next_number += 1;
+        key
+    }
+
+    /// Cancels a timer, unless it was due already.
+    pub fn cancel(&mut self, key: TimerKey) {
+        self.timers.remove(&key);
     }
 
     /// The due time of the next timer.
     pub fn next_due(&self) -> Option<Duration> {
-        self.timers.keys().next().map(|(at, _)| *at)
+        self.timers.keys().next().map(|key| key.0)
     }
 
     /// Removes the next timer that is due at `now`: the earliest first, and equally early ones in the order
--- a/node/tests/engine.rs
+++ b/node/tests/engine.rs
@@ -353,3 +353,16 @@
     let commands = harness.take_commands();
     assert!(commands.iter().any(|c| matches!(c, Command::ReleaseCaller(..))), "{commands:?}");
 }
+
+/// Guards against a flood of calls that are given up at once and whose timers fill the memory until they are due.
+#[test]
+fn timers_of_ended_calls_are_cancelled() {
+    let mut harness = EngineHarness::new();
+    for _ in 0..100 {
+        let call = harness.new_call(9000);
+        harness.engine.caller_ended(harness.now, call, &mut harness.timers);
+    }
+    let timers = std::iter::from_fn(|| harness.timers.pop_due(Duration::MAX));
+    let of_calls = timers.filter(|timer| !matches!(timer, EngineTimer::Controller(_)));
+    assert_eq!(of_calls.count(), 0);
+}
