Drop set-ups of clients that left, and set up no call twice that comes again

A call that came again on another connection, after its client had left or given it up, was set up again within milliseconds of its cancellation, or its connection was closed without an answer; at the new process of an upgrade too. An INVITE that came again over another path was a second call.

Cause: a close was seen only after everything written before it; the wait for release ended with the call in the table of one process; a SIP call was known by its branch alone.

Change: closes are read from the poll's events first. Ids of ended calls are kept for the wait for release and shared with the process that replaces this one, which reads new connections 50 ms late meanwhile. A set-up under such an id, or under the id of a call on another connection, is refused. Merged INVITEs get 482.

lines.rs asked that a second set-up under the id of an open call closes its connection.

--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -305,6 +305,11 @@
         Some(self.max_retry_after).filter(|s| !s.is_zero())
     }
 
+    /// Time after the end of an attempt for which it may still occupy circuits.
+    pub fn release_delay(&self) -> Duration {
+        self.controller.settings().rules.release_delay
+    }
+
     /// Whether any command is still to be carried out.
     pub fn has_commands(&self) -> bool {
         !self.commands.is_empty()
--- a/node/src/net/clients.rs
+++ b/node/src/net/clients.rs
@@ -2,6 +2,7 @@
 
 mod earlier_calls;
 mod handover;
+mod recent_ids;
 mod releases;
 
 use super::conn::Conn;
@@ -15,6 +16,7 @@
 use earlier_calls::EarlierCalls;
 use mio::net::{TcpListener, TcpStream};
 use mio::Interest;
+use recent_ids::RecentIds;
 use slateshed::{DialledNumber, ExchangeNumber, Origin};
 use std::collections::{HashMap, VecDeque};
 use std::io::ErrorKind;
@@ -45,6 +47,9 @@
 /// Maximum number of messages from one connection that are handled in one iteration of the event loop. The others are
 /// handled in the next iteration, so that one busy connection does not keep the others waiting.
 const MAX_MESSAGES_PER_ITERATION: usize = 64;
+/// Delay before a new connection is read while the process that this one replaces is running. A client that has just
+/// left that process may come again with the same call, which is given up there first.
+const NEW_CLIENT_DELAY: Duration = Duration::from_millis(50);
 /// Tolerance for clock differences and rounding when a caller's patience is compared with the deadline of its
 /// class.
 const DEADLINE_TOLERANCE: Duration = Duration::from_millis(100);
@@ -75,6 +80,8 @@
     timer_scheduled: bool,
     /// When its last event was handled; before that, when it was accepted.
     last_active_at: Duration,
+    /// Whether it has closed its side, so that set-ups that were not read yet are given up.
+    has_left: bool,
     /// Whether it is in [`Clients::unflushed`].
     is_unflushed: bool,
     /// Memory that its buffers took when they were last accounted for.
@@ -138,6 +145,10 @@
     earlier_calls: Option<EarlierCalls>,
     /// Number of releases of calls that an earlier process has established.
     released_earlier_calls: u64,
+    /// Ids of calls that have ended recently.
+    recent_ids: RecentIds,
+    /// Where the ids of calls that end are written for the process that replaces this one.
+    shared_ids: Option<HandoverWriter>,
     /// Connections that [`Clients::end_connections`] ends.
     connections_to_end: Vec<(Token, EndReason)>,
     /// Connections with unread data left over from the last iteration.
@@ -166,6 +177,8 @@
             return_writer: None,
             earlier_calls: Some(EarlierCalls::new(limits.max_own_ids())),
             released_earlier_calls: 0,
+            recent_ids: RecentIds::new(limits.max_own_ids()),
+            shared_ids: None,
             connections_to_end: Vec::new(),
             unread: Vec::new(),
             unflushed: Vec::new(),
@@ -297,6 +310,7 @@
                 awaiting_since: Some(now),
                 timer_scheduled: true,
                 last_active_at: now,
+                has_left: false,
                 is_unflushed: false,
                 buffered_bytes: 0,
                 unconfirmed_releases: Vec::new(),
@@ -350,8 +364,22 @@
         }
     }
 
-    /// Handles an event on a connection: readable or writable.
+    /// Records that a client has closed its side of a connection.
+    pub fn mark_as_left(&mut self, token: Token) {
+        if let Some(client) = self.conns.get_mut(token) {
+            client.has_left = true;
+        }
+    }
+
+    /// Handles an event on a connection: readable or writable. While the process that this one replaces is running, a
+    /// new connection is read only after [`NEW_CLIENT_DELAY`].
     pub fn ready(&mut self, token: Token, cx: &mut Context) {
+        let accepted_at = self.conns.get(token).map(|client| client.accepted_at);
+        let read_at =
+            accepted_at.filter(|_| self.return_writer.is_some()).map(|at| at + NEW_CLIENT_DELAY);
+        if let Some(read_at) = read_at.filter(|at| *at > cx.now) {
+            return cx.timers.schedule(read_at, TimerEvent::ClientReady(token));
+        }
         let result = self.read(token, cx);
         self.account_buffers(token);
         if let Err(end) = result {
@@ -447,7 +475,7 @@
             "FINISH" => {
                 if let Some(call) = self.by_tag.get(&message.tag).copied() {
                     self.mark_as_caller(token);
-                    if self.remove_call(call).is_some_and(|c| c.is_established) {
+                    if self.remove_call(call, cx).is_some_and(|c| c.is_established) {
                         self.write_handover(&Record::Forget { tag: message.tag }, cx);
                     }
                     cx.engine.caller_ended(cx.now, call, cx.timers);
@@ -479,7 +507,8 @@
         message: Message,
         cx: &mut Context,
     ) -> Result<(), EndReason> {
-        let Some(client) = self.conns.get(token) else {
+        // A client that has closed its side has given the set-up up.
+        let Some(peer) = self.conns.get(token).filter(|c| !c.has_left).map(|c| c.peer) else {
             return Ok(());
         };
         // A set-up without a valid id cannot be answered. If it were forwarded, the exchange would close its
@@ -487,12 +516,13 @@
         if !is_16_hex_digits(&message.tag) {
             return Err(EndReason::MalformedMessage);
         }
-        if self.by_tag.contains_key(&message.tag) {
+        let first_connection =
+            self.by_tag.get(&message.tag).map(|call| self.calls.get(call).map(|c| c.conn));
+        if first_connection == Some(Some(token)) {
             // The client would take an answer under this id for the answer to the existing call.
             cx.log.line(cx.now, "set-up-twice", &message.tag);
             return Err(EndReason::MalformedMessage);
         }
-        let peer = client.peer;
         let tag = message.tag.clone();
         self.record_own_id(&tag);
         let new = match parse_set_up(message, cx.wire) {
@@ -510,7 +540,18 @@
             lifecycle::ClientPolicy::Close(cutoff) => self.is_kept_for_calls(token, cutoff),
             lifecycle::ClientPolicy::Refuse(_) => true,
         };
-        if refused_by_drain || self.unanswered_calls >= self.limits.max_unanswered_calls() {
+        // A client that has come again with a call may have left the connection on which the call is unanswered.
+        let repeated_within = match first_connection {
+            Some(_) => Some(cx.engine.release_delay()),
+            None => self.recent_ids.time_left(&tag, cx.now),
+        };
+        let is_full = self.unanswered_calls >= self.limits.max_unanswered_calls();
+        if let Some(wait) = repeated_within {
+            cx.log.line(cx.now, "set-up-repeated", format_args!("call={tag}"));
+            cx.engine.count_refused(new.class);
+            let wait = cx.engine.max_retry_after().map(|longest| wait.min(longest));
+            self.answer(token, &encode_refusal(&tag, wait));
+        } else if refused_by_drain || is_full {
             if !refused_by_drain {
                 cx.log.line(
                     cx.now,
@@ -520,13 +561,8 @@
             }
             cx.engine.count_refused(new.class);
             // No retry delay is given while draining, because another controller can take the call at once.
-            let wait = cx
-                .engine
-                .max_retry_after()
-                .filter(|_| !refused_by_drain)
-                .map(|s| s.as_millis().to_string());
-            let opts: Vec<_> = wait.iter().map(|w| ("wait", w.as_str())).collect();
-            self.answer(token, &encode_message("FINISH", &tag, &opts, Some(CAUSE_REFUSED), None));
+            let wait = cx.engine.max_retry_after().filter(|_| !refused_by_drain);
+            self.answer(token, &encode_refusal(&tag, wait));
         } else {
             if let Some(client) = self.conns.get_mut(token) {
                 client.unanswered += 1;
@@ -552,10 +588,11 @@
     }
 
     /// Removes a call that has ended.
-    fn remove_call(&mut self, call: CallToken) -> Option<ClientCall> {
+    fn remove_call(&mut self, call: CallToken, cx: &mut Context) -> Option<ClientCall> {
         self.mark_answered(call, false);
         let client_call = self.calls.remove(&call)?;
         self.by_tag.remove(&client_call.tag);
+        self.record_recent_id(&client_call.tag, cx);
         if let Some(client) = self.conns.get_mut(client_call.conn).filter(|_| client_call.is_established)
         {
             client.established -= 1;
@@ -592,17 +629,12 @@
                 }
             }
             Command::Refuse(call, retry_after) => {
-                let wait = retry_after.map(|s| s.as_millis().to_string());
-                let opts: Vec<_> = wait.iter().map(|w| ("wait", w.as_str())).collect();
-                if let Some(client_call) = self.remove_call(call) {
-                    self.answer(
-                        client_call.conn,
-                        &encode_message("FINISH", &client_call.tag, &opts, Some(CAUSE_REFUSED), None),
-                    );
+                if let Some(client_call) = self.remove_call(call, cx) {
+                    self.answer(client_call.conn, &encode_refusal(&client_call.tag, retry_after));
                 }
             }
             Command::Fail(call) => {
-                if let Some(client_call) = self.remove_call(call) {
+                if let Some(client_call) = self.remove_call(call, cx) {
                     self.answer(
                         client_call.conn,
                         &encode_message("FINISH", &client_call.tag, &[], Some(CAUSE_FAILED), None),
@@ -610,7 +642,7 @@
                 }
             }
             Command::ReleaseCaller(call, cause) => {
-                let Some(client_call) = self.remove_call(call) else {
+                let Some(client_call) = self.remove_call(call, cx) else {
                     return;
                 };
                 let conn = self.select_release_connection(client_call.conn, client_call.peer);
@@ -728,13 +760,20 @@
                 .filter(|(_, client_call)| client_call.conn == token && client_call.is_unanswered);
             let unanswered: Vec<_> = unanswered.map(|(call, _)| *call).collect();
             for call in unanswered {
-                self.remove_call(call);
+                self.remove_call(call, cx);
                 cx.engine.caller_ended(cx.now, call, cx.timers);
             }
         }
     }
 }
 
+/// Encodes the refusal of a call, with the time for which its caller stays away.
+fn encode_refusal(tag: &str, wait: Option<Duration>) -> Vec<u8> {
+    let wait = wait.map(|wait| wait.as_millis().to_string());
+    let opts: Vec<_> = wait.iter().map(|wait| ("wait", wait.as_str())).collect();
+    encode_message("FINISH", tag, &opts, Some(CAUSE_REFUSED), None)
+}
+
 /// Parses a set-up; the error names the invalid field. Fields forwarded unchanged must be valid for the
 /// exchange, because it closes its connection on any invalid message. A number in `extras` that is out of range
 /// is not clamped: it counts as absent.
--- a/node/src/net/clients/handover.rs
+++ b/node/src/net/clients/handover.rs
@@ -124,7 +124,7 @@
 
     /// Removes an adopted call that the previous process has ended on both sides.
     pub fn forget_call(&mut self, call: CallToken, cx: &mut Context) {
-        if let Some(client_call) = self.remove_call(call) {
+        if let Some(client_call) = self.remove_call(call, cx) {
             self.write_handover(&Record::Forget { tag: client_call.tag }, cx);
         }
     }
--- a/node/src/net/handover.rs
+++ b/node/src/net/handover.rs
@@ -145,9 +145,14 @@
         }
     }
 
-    /// Reads and applies new records, and schedules the next poll while records may follow.
-    pub fn poll(&mut self, clients: &mut Clients, exchanges: &mut Exchanges, cx: &mut Context) {
+    /// Handles the poll timer.
+    pub fn poll_due(&mut self, clients: &mut Clients, exchanges: &mut Exchanges, cx: &mut Context) {
         self.is_poll_scheduled = false;
+        self.poll(clients, exchanges, cx);
+    }
+
+    /// Reads and applies new records, and schedules the next poll while records may follow.
+    fn poll(&mut self, clients: &mut Clients, exchanges: &mut Exchanges, cx: &mut Context) {
         if let Some(mut reader) = self.from_predecessor.take() {
             for record in reader.poll(cx) {
                 self.apply_from_predecessor(record, clients, exchanges, cx);
@@ -206,6 +211,7 @@
                 None => clients.forward_release(release, cx),
             },
             Record::UnmatchedRelease(release) => apply_unmatched_release(&release, clients, cx),
+            Record::RecentId { tag, until } => clients.add_recent_id(tag, until, cx.now),
             Record::Forget { tag } => {
                 self.adopted.remove(&tag);
                 if let Some(call) = clients.call_by_tag(&tag) {
@@ -233,7 +239,7 @@
     let release = match record {
         Record::Release(release) => release,
         Record::UnmatchedRelease(release) => return apply_unmatched_release(&release, clients, cx),
-        Record::Call(_) | Record::Forget { .. } => return,
+        Record::Call(_) | Record::RecentId { .. } | Record::Forget { .. } => return,
     };
     if !clients.is_caller_connected(release.host) {
         return clients.return_release(&Record::Release(release), cx);
--- a/node/src/net/handover/records.rs
+++ b/node/src/net/handover/records.rs
@@ -17,6 +17,13 @@
     Release(Release),
     /// An exchange has released a call that the writing process does not know.
     UnmatchedRelease(UnmatchedRelease),
+    /// A call has ended. Its id is not set up again until this time.
+    RecentId {
+        /// The caller's id of the call.
+        tag: String,
+        /// The time, as Unix time.
+        until: Duration,
+    },
     /// A call has ended, and nobody is owed a release.
     Forget {
         /// The caller's id of the call.
@@ -102,6 +109,9 @@
                 ("exchange", text(&release.exchange)),
                 ("cause", text(cause_name(release.cause))),
             ],
+            Record::RecentId { tag, until } => {
+                vec![("type", text("recent_id")), ("tag", text(tag)), ("until_ms", millis(*until))]
+            }
             Record::Forget { tag } => vec![("type", text("forget")), ("tag", text(tag))],
         };
         let fields: HashMap<_, _> = fields.into_iter().map(|(k, v)| (k.to_owned(), v)).collect();
@@ -136,6 +146,10 @@
                 let cause = parse_cause(&root)?;
                 Ok(Record::UnmatchedRelease(UnmatchedRelease { tag: tag()?, exchange, cause }))
             }
+            "recent_id" => {
+                let until = read::millis(&root, "until_ms")?;
+                Ok(Record::RecentId { tag: tag()?, until })
+            }
             "forget" => Ok(Record::Forget { tag: tag()? }),
             other => Err(format!("type: {other} is unknown")),
         }
@@ -166,6 +180,7 @@
                 exchange: "s-one".to_owned(),
                 cause: ReleaseCause::Normal,
             }),
+            Record::RecentId { tag: tag.clone(), until: time(1_796_000_000_789) },
             Record::Forget { tag },
         ];
         for record in records {
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -42,6 +42,9 @@
 /// ones are accepted in the next iteration, so that a burst of connections does not starve other peers.
 const ACCEPT_BATCH: usize = 64;
 
+/// Interval at which a process on an inherited socket checks whether another one replaces it.
+const SUCCESSOR_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// The kind of event source that a poll token belongs to; the rest of the poll token is an arena token.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SourceKind {
@@ -107,6 +110,10 @@
     PartialMessageTimeout(Token),
     /// An exchange must have closed its side of a connection that this side closed.
     CloseTimeout(Token),
+    /// A client's connection that was accepted during a replacement is read.
+    ClientReady(Token),
+    /// The pid file is checked for a process that replaces this one.
+    SuccessorPoll,
     /// New records of the other process are read while one replaces the other.
     HandoverPoll,
     /// A connection that was opened for repeated releases must have received data by now.
@@ -251,6 +258,9 @@
                 Some(Err(e)) => cx.log.line(now, "handover-failed", e),
                 None => {}
             }
+            if pid_file.is_some() {
+                cx.timers.schedule(now + SUCCESSOR_POLL_INTERVAL, TimerEvent::SuccessorPoll);
+            }
             cx.log.line(now, "started", format_args!("listening on {listen}"));
             if let Some(sip) = &sip {
                 cx.log.line(now, "sip-started", format_args!("listening on {}", sip.listen_addresses()));
@@ -260,6 +270,15 @@
                 cx.log.line(now, "operators-started", format_args!("listening on {listen}"));
             }
         }
+        for event in events.iter().filter(|event| event.is_read_closed()) {
+            match SourceKind::split(event.token()) {
+                (Some(SourceKind::Client), token) => clients.mark_as_left(token),
+                (Some(SourceKind::SipStream), token) => {
+                    sip.iter_mut().for_each(|s| s.mark_as_left(token))
+                }
+                _ => {}
+            }
+        }
         clients.continue_reading(&mut cx);
         exchanges.continue_reading(&mut cx);
         sip.iter_mut().for_each(|s| s.continue_reading(&mut cx));
@@ -370,7 +389,18 @@
                 TimerEvent::CloseTimeout(token) => exchanges.close_timeout_due(token, &mut cx),
                 TimerEvent::RepeatsTimeout(token) => exchanges.repeats_timeout_due(token, &mut cx),
                 TimerEvent::DialTimeout(token) => exchanges.dial_timeout_due(token, &mut cx),
-                TimerEvent::HandoverPoll => handover.poll(&mut clients, &mut exchanges, &mut cx),
+                TimerEvent::HandoverPoll => handover.poll_due(&mut clients, &mut exchanges, &mut cx),
+                TimerEvent::ClientReady(token) => clients.ready(token, &mut cx),
+                TimerEvent::SuccessorPoll => {
+                    let pid_file = pid_file.as_ref().filter(|pid_file| pid_file.is_taken_over());
+                    match pid_file.map(PidFile::handover_writer) {
+                        Some(Ok(writer)) => clients.begin_sharing_ids(writer, &mut cx),
+                        Some(Err(e)) => cx.log.line(now, "handover-failed", e),
+                        None => {
+                            cx.timers.schedule(now + SUCCESSOR_POLL_INTERVAL, TimerEvent::SuccessorPoll)
+                        }
+                    }
+                }
                 TimerEvent::Redial(exchange) => exchanges.redial_due(exchange, &mut cx),
                 TimerEvent::JournalRedial => journal.redial_due(&mut cx),
                 TimerEvent::JournalDialTimeout(generation) => {
--- a/node/src/net/sip/commands.rs
+++ b/node/src/net/sip/commands.rs
@@ -136,6 +136,7 @@
             state_changed_at: cx.now,
             last_checked_at: cx.now,
             bye_after_ack: false,
+            invite_cseq: 1,
             held_bytes: LEG_OVERHEAD_BYTES,
         });
         self.legs_by_attempt.insert(attempt, leg_token);
--- a/node/src/net/sip/incoming.rs
+++ b/node/src/net/sip/incoming.rs
@@ -35,6 +35,10 @@
         source: Target,
         cx: &mut Context,
     ) {
+        let is_new_call = method == Method::INVITE && request.to.tag.is_none();
+        if is_new_call && source.conn.is_some_and(|stream| self.transport.has_left(stream)) {
+            return;
+        }
         let leg_token = self.leg_of_request(&request);
         let admission = match self.ends_call(&request, &method, leg_token) {
             true => Admission::Always,
@@ -52,7 +56,6 @@
                 let respond = |sip: &mut Self, status, extra_headers: &[(&str, &str)]| {
                     sip.respond(transaction, &request.headers, status, extra_headers, cx.now);
                 };
-                let has_to_tag = request.to.tag.is_some();
                 if request.header(Name::MAX_FORWARDS).is_some_and(|h| h == "0") {
                     respond(self, 483, &[]);
                 } else if let Some(extensions) = request.header(Name::REQUIRE).filter(|r| !r.is_empty())
@@ -65,7 +68,9 @@
                         Some(leg_token) => self.handle_bye(leg_token, &request, transaction, cx),
                         None => respond(self, 481, &[]),
                     }
-                } else if method == Method::INVITE && !has_to_tag {
+                } else if is_new_call && self.is_merged_request(&request) {
+                    respond(self, 482, &[]);
+                } else if is_new_call {
                     self.handle_invite(&request, transaction, source, cx);
                 } else if method == Method::INVITE {
                     // A re-INVITE is rejected: the session description of an established call can't be changed.
@@ -95,6 +100,18 @@
         Some(leg_token)
     }
 
+    /// Whether a call exists here, or has ended recently, that was set up by the same INVITE, received on another path
+    /// (RFC 3261, section 8.2.2.2).
+    fn is_merged_request(&self, invite: &Message) -> bool {
+        let from_tag = invite.from.tag.as_ref().map_or("", |t| t);
+        self.legs.iter().any(|(_, leg)| {
+            matches!(leg.party, Party::Caller(_))
+                && leg.dialog.call_id == invite.call_id
+                && leg.dialog.remote_tag == from_tag
+                && leg.invite_cseq == invite.cseq.cseq
+        })
+    }
+
     /// Whether a request ends a call: the BYE of a dialog, or the CANCEL of an INVITE without a final response. It is
     /// never rejected for lack of room, as its sender need not repeat it (RFC 3261, section 15.1.1).
     fn ends_call(&self, request: &Message, method: &Method, leg_token: Option<Token>) -> bool {
@@ -217,6 +234,7 @@
             state_changed_at: cx.now,
             last_checked_at: cx.now,
             bye_after_ack: false,
+            invite_cseq: invite.cseq.cseq,
             held_bytes: needed_bytes,
         });
         self.legs_by_call.insert(call, leg_token);
--- a/node/src/net/sip/mod.rs
+++ b/node/src/net/sip/mod.rs
@@ -98,6 +98,8 @@
     last_checked_at: Duration,
     /// Caller's leg: the call was released before the ACK arrived, so that the BYE is sent after the ACK.
     bye_after_ack: bool,
+    /// The sequence number (CSeq) of its INVITE.
+    invite_cseq: u32,
     /// Memory that the leg takes.
     held_bytes: usize,
 }
@@ -315,6 +317,11 @@
         uses
     }
 
+    /// Records that the peer of a stream has closed its side. Calls on it that were not read yet are given up.
+    pub fn mark_as_left(&mut self, token: Token) {
+        self.transport.mark_as_left(token);
+    }
+
     /// Handles a stream that is readable or writable.
     pub fn stream_ready(&mut self, token: Token, cx: &mut Context) {
         let (messages, end_reason) = self.transport.read(token, cx);
--- a/node/src/net/sip/transport.rs
+++ b/node/src/net/sip/transport.rs
@@ -30,6 +30,8 @@
     last_received_at: Duration,
     /// A complete message has been received on it, or this side opened it.
     is_in_use: bool,
+    /// Whether its peer has closed its side.
+    has_left: bool,
     /// Since when its first message, or the rest of an incomplete message, has been awaited.
     awaiting_since: Option<Duration>,
 }
@@ -209,6 +211,7 @@
                 peer,
                 last_received_at: now,
                 is_in_use: !is_connected,
+                has_left: false,
                 awaiting_since,
             }
         });
@@ -304,6 +307,18 @@
         std::mem::take(&mut self.unread)
     }
 
+    /// Records that the peer of a stream has closed its side.
+    pub fn mark_as_left(&mut self, token: Token) {
+        if let Some(stream) = self.streams.get_mut(token) {
+            stream.has_left = true;
+        }
+    }
+
+    /// Whether the peer of a stream has closed its side.
+    pub fn has_left(&self, token: Token) -> bool {
+        self.streams.get(token).is_some_and(|s| s.has_left)
+    }
+
     /// The address of a stream's peer.
     pub fn peer(&self, token: Token) -> Option<SocketAddr> {
         self.streams.get(token).map(|s| s.peer)
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -239,6 +239,18 @@
         self.send_signal("-HUP");
     }
 
+    /// Stops the process for as long as a function runs, so that what peers do meanwhile arrives all at once.
+    pub fn while_paused<T>(&mut self, run: impl FnOnce() -> T) -> T {
+        self.send_signal("-STOP");
+        let path = format!("/proc/{}/stat", self.child.id());
+        while !std::fs::read_to_string(&path).is_ok_and(|stat| stat.contains(") T ")) {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        let result = run();
+        self.send_signal("-CONT");
+        result
+    }
+
     fn send_signal(&mut self, signal: &str) {
         let status = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
         assert!(status.expect("kill runs").success());
--- a/node/tests/lines.rs
+++ b/node/tests/lines.rs
@@ -168,17 +168,23 @@
 }
 
 /// Guards against a second set-up with the id of an open call, which would be served in its place or get its answer.
-/// The connection that sends it is closed, and the call continues.
+/// On another connection it is refused; on that of the call, where the refusal would be taken for the answer to the call,
+/// it closes the connection.
 #[test]
-fn second_set_up_with_the_id_of_an_open_call_closes_its_connection() {
+fn second_set_up_with_the_id_of_an_open_call_is_refused_or_closes_its_connection() {
     let (mut daemon, exchange_listener, _journal) = start_daemon();
     let mut exchange = LinePeer::accept(&exchange_listener);
     let (mut client, mut other) = (daemon.connect_client(), daemon.connect_client());
     client.send_start(TAG, 3000, 1);
     assert_eq!(exchange.receive_start(), TAG);
     other.send_start(TAG, 2000, 1);
-    assert_eq!(other.receive(), "", "the connection is not closed");
+    let refusal = other.receive();
+    assert!(refusal.contains(TAG) && refusal.contains(r#""rc":42"#), "not refused: {refusal}");
+    assert!(exchange.receives_nothing_within(Duration::from_millis(100)), "set up twice");
     answer_call(&mut exchange, &mut client, TAG);
+    assert!(other.receives_nothing_within(Duration::from_millis(100)), "answered twice");
+    client.send_start(TAG, 2000, 1);
+    assert_eq!(client.receive(), "", "the connection is not closed");
 }
 
 /// Guards against clients that occupy a connection without sending a complete request, and against closing the
