--- a/node/src/net/handover.rs
+++ b/node/src/net/handover.rs
@@ -13,6 +13,7 @@
 use super::exchanges::Exchanges;
 use super::{Context, TimerEvent};
 use std::collections::HashSet;
+use std::fmt;
 use std::fs::{File, OpenOptions};
 use std::io::{self, ErrorKind, Read, Write};
 use std::path::PathBuf;
@@ -52,8 +53,8 @@
 #[derive(Debug)]
 pub struct HandoverReader {
     path: PathBuf,
-    /// The id of the process that writes the records.
-    writer: u32,
+    /// The process that writes the records.
+    writer: ProcessIdentity,
     /// The file, once the other process has created it.
     file: Option<File>,
     /// Bytes of a record that is partially read.
@@ -64,7 +65,7 @@
 
 impl HandoverReader {
     /// Creates the reader of the records of a process.
-    pub fn new(path: PathBuf, writer: u32) -> Self {
+    pub fn new(path: PathBuf, writer: ProcessIdentity) -> Self {
         HandoverReader { path, writer, file: None, partial_record: Vec::new(), is_complete: false }
     }
 
@@ -88,7 +89,7 @@
     /// Reads the complete lines that the other process has appended since the last call.
     fn read_lines(&mut self) -> io::Result<Vec<Vec<u8>>> {
         // Checked before the read: what a process has written before its end is then read below.
-        let is_writer_running = is_running(self.writer);
+        let is_writer_running = self.writer.is_running();
         if self.file.is_none() {
             match File::open(&self.path) {
                 Ok(file) => self.file = Some(file),
@@ -273,28 +274,71 @@
     true
 }
 
-/// Whether a process has not ended. One that has ended and whose parent has not collected its status counts as
-/// ended.
-pub fn is_running(process_id: u32) -> bool {
-    let Ok(stat) = std::fs::read_to_string(format!("/proc/{process_id}/stat")) else {
-        return false;
-    };
-    // The state follows the name of the program, which is in parentheses and may contain any character.
-    let state = stat.rsplit_once(')').and_then(|(_, rest)| rest.trim_start().chars().next());
-    !matches!(state, Some('Z' | 'X'))
+/// A process. The system may give its id to another one after its end, so its start belongs to its identity.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProcessIdentity {
+    /// The process id.
+    pub id: u32,
+    /// When it was started, in clock ticks since the start of the system.
+    started_at: u64,
+}
+
+/// Position of the start time in `/proc/PID/stat`, counted from the state, which is the first field after the name.
+const START_TIME_FIELD: usize = 19;
+
+impl ProcessIdentity {
+    /// The process that has this id now. One that has ended and whose parent has not collected its status counts as
+    /// ended.
+    pub fn of_running(id: u32) -> Option<Self> {
+        let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+        // The state follows the name of the program, which is in parentheses and may contain any character.
+        let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+        let has_ended = matches!(fields.first(), Some(&"Z" | &"X"));
+        let started_at = fields.get(START_TIME_FIELD)?.parse().ok()?;
+        Some(ProcessIdentity { id, started_at }).filter(|_| !has_ended)
+    }
+
+    /// Parses the form that [`fmt::Display`] writes.
+    pub fn parse(text: &str) -> Option<Self> {
+        let (id, started_at) = text.trim().split_once(' ')?;
+        Some(ProcessIdentity { id: id.parse().ok()?, started_at: started_at.parse().ok()? })
+    }
+
+    /// Whether the process has not ended.
+    pub fn is_running(self) -> bool {
+        Self::of_running(self.id) == Some(self)
+    }
+}
+
+impl fmt::Display for ProcessIdentity {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.id, self.started_at)
+    }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
 
+    /// Guards against another process that has been given the id of one that has ended, and is taken for it.
+    #[test]
+    fn a_process_with_the_same_id_and_another_start_is_another_one() {
+        let this_process = ProcessIdentity::of_running(std::process::id()).expect("it is running");
+        assert_eq!(ProcessIdentity::parse(&this_process.to_string()), Some(this_process));
+        assert!(this_process.is_running());
+        let earlier = ProcessIdentity { started_at: this_process.started_at - 1, ..this_process };
+        assert!(!earlier.is_running());
+        assert_eq!(ProcessIdentity::parse("17"), None);
+    }
+
     /// Guards against a record that is applied when only a part of it is written, or twice.
     #[test]
     fn only_complete_records_are_read_and_each_once() {
         let name = format!("slateshed-handover-test-{}", std::process::id());
         let path = std::env::temp_dir().join(name);
         let _ = std::fs::remove_file(&path);
-        let mut reader = HandoverReader::new(path.clone(), std::process::id());
+        let this_process = ProcessIdentity::of_running(std::process::id()).expect("it is running");
+        let mut reader = HandoverReader::new(path.clone(), this_process);
         assert!(reader.read_lines().expect("a missing file is no error").is_empty());
         let mut writer = HandoverWriter::open(path.clone()).expect("the file is created");
         writer.write(&Record::Forget { tag: "a".to_owned() }).expect("the record is written");
