Cancel set-ups that are out at an exchange when the list says that it is gone

Cause: the news ended the calls that stand there, and left what is out to its time limit.

Change: set-ups that were sent to a process that is gone, or before it was started anew, are cancelled with the news and may go again after the wait for release.

--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -636,8 +636,9 @@
         }
         let list = if full { ListUpdate::Full(list_entries) } else { ListUpdate::Delta(list_entries) };
         self.pending.push_back(Event::List(list));
-        for (id, answered_until) in restarted_or_gone {
-            self.drop_calls(now, id, answered_until, timers);
+        for (id, until) in restarted_or_gone {
+            self.cancel_attempts(now, id, until);
+            self.drop_calls(now, id, until, timers);
         }
         self.handle_pending(now, timers);
     }
@@ -714,6 +715,18 @@
         }
     }
 
+    /// Cancels the pending attempts that were sent to an exchange at `sent_until` or before, as their process is gone.
+    /// Another process at its address must not be sent them again, nor be taken for the one that they were sent to.
+    fn cancel_attempts(&mut self, now: Duration, exchange: ExchangeId, sent_until: Duration) {
+        let pending = self.attempts.iter().filter(|(_, a)| a.exchange == exchange && !a.is_established);
+        let pending = pending.filter(|(_, a)| a.sent_at <= sent_until);
+        let pending: Vec<_> = pending.map(|(token, _)| AttemptToken(token)).collect();
+        for attempt in pending {
+            self.commands.push_back(Command::CancelAttempt(attempt));
+            self.remove_attempt(now, attempt, EndReason::Dropped, false);
+        }
+    }
+
     /// Drops the calls that an exchange answered at `answered_until` or before, as their process is gone. An
     /// update of the list may arrive late, so calls that the restarted process has answered after its start
     /// are kept.
