Count an exchange as gone whose address the list gives to another one

Cause: nothing compared addresses. The list gives an address to a new exchange only once the one that had it has gone.

Change: an entry with the address of another exchange, in another event than its own, removes that one as if it were reported gone ("exchange-displaced").

--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -378,6 +378,18 @@
         }
     }
 
+    /// The list entry that says that an exchange is gone.
+    pub fn gone_entry(&self, exchange: ExchangeId) -> Option<NamedEntry> {
+        let entry = self.exchanges.get(&exchange)?;
+        Some(NamedEntry {
+            name: entry.name.clone(),
+            number: entry.number,
+            zone: 0,
+            phase: Phase::Gone,
+            started_at: entry.started_at,
+        })
+    }
+
     /// The exchange of this name, if it is known.
     pub fn exchange_id(&self, name: &str) -> Option<ExchangeId> {
         self.names.get(name).copied()
--- a/node/src/net/exchanges/mod.rs
+++ b/node/src/net/exchanges/mod.rs
@@ -190,6 +190,13 @@
         self.peers.values().any(|p| !p.pending_releases.is_empty())
     }
 
+    /// The exchanges at the address of another one. The list gives an address to a new exchange only once the one that
+    /// had it is gone, but may report that later.
+    pub fn displaced_by(&self, exchange: ExchangeId, addr: SocketAddr) -> Vec<ExchangeId> {
+        let at_addr = self.peers.iter().filter(|(other, p)| **other != exchange && p.addr == addr);
+        at_addr.map(|(other, _)| *other).collect()
+    }
+
     /// Applies an entry of the exchange list. An exchange that is gone is removed.
     pub fn apply_list_entry(
         &mut self,
@@ -252,7 +259,8 @@
         unlisted.into_iter().for_each(|exchange| self.remove_exchange(exchange, cx));
     }
 
-    fn remove_exchange(&mut self, exchange: ExchangeId, cx: &mut Context) {
+    /// Removes an exchange that is gone. Connections with unanswered set-ups stay until these have ended.
+    pub fn remove_exchange(&mut self, exchange: ExchangeId, cx: &mut Context) {
         self.drain_all_connections(exchange, cx);
         self.peers.remove(&exchange);
         self.close_unconnected(exchange, |_| true, cx);
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -29,7 +29,7 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
 use sip::{Sip, SipTimer};
-use slateshed::{ExchangeId, ExchangeNumber, Topology};
+use slateshed::{ExchangeId, ExchangeNumber, NamedEntry, Phase, Topology};
 use std::io::{self, ErrorKind};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -355,28 +355,7 @@
             }
         }
         for list_event in list_events.drain(..) {
-            let entries: Vec<_> = list_event.entries.iter().map(|(entry, _)| entry.clone()).collect();
-            cx.engine.update_list(now, list_event.full, &entries, cx.timers);
-            let is_served_by_sip = |n| sip.as_ref().is_some_and(|s| s.reaches_exchange(n));
-            let is_json_exchange = |n: ExchangeNumber| Some(n) != local && !is_served_by_sip(n);
-            let mut listed_exchanges = Vec::new();
-            for (entry, addr) in &list_event.entries {
-                if let Some(id) =
-                    cx.engine.exchange_id(&entry.name).filter(|_| is_json_exchange(entry.number))
-                {
-                    listed_exchanges.push(id);
-                    exchanges.apply_list_entry(id, *addr, entry.phase, &mut cx);
-                }
-            }
-            if list_event.full {
-                exchanges.remove_unlisted(&listed_exchanges, &mut cx);
-            }
-            cx.engine.remove_gone();
-            cx.log.line(
-                now,
-                "list",
-                format_args!("event {}, {} lines", list_event.position, entries.len()),
-            );
+            apply_list_event(&list_event, local, sip.as_ref(), &mut exchanges, &mut cx);
         }
         while let Some(timer_event) = cx.timers.pop_due(now) {
             match timer_event {
@@ -518,6 +497,51 @@
     }
 }
 
+/// Applies an event of the journal service to the engine and to the connections to exchanges.
+fn apply_list_event(
+    list_event: &ListEvent,
+    local: Option<ExchangeNumber>,
+    sip: Option<&Sip>,
+    exchanges: &mut Exchanges,
+    cx: &mut Context,
+) {
+    let entries: Vec<_> = list_event.entries.iter().map(|(entry, _)| entry.clone()).collect();
+    cx.engine.update_list(cx.now, list_event.full, &entries, cx.timers);
+    let is_served_by_sip = |n| sip.is_some_and(|s| s.reaches_exchange(n));
+    let is_json_exchange = |n: ExchangeNumber| Some(n) != local && !is_served_by_sip(n);
+    let mut listed_exchanges = Vec::new();
+    for (entry, addr) in &list_event.entries {
+        if let Some(id) = cx.engine.exchange_id(&entry.name).filter(|_| is_json_exchange(entry.number)) {
+            listed_exchanges.push(id);
+            exchanges.apply_list_entry(id, *addr, entry.phase, cx);
+        }
+    }
+    if list_event.full {
+        exchanges.remove_unlisted(&listed_exchanges, cx);
+    }
+    for (entry, addr) in list_event.entries.iter().filter(|(entry, _)| entry.phase != Phase::Gone) {
+        let exchange = cx.engine.exchange_id(&entry.name).filter(|id| listed_exchanges.contains(id));
+        let displaced = exchange.map_or(Vec::new(), |id| exchanges.displaced_by(id, *addr));
+        for other in displaced.into_iter().filter(|other| !listed_exchanges.contains(other)) {
+            remove_displaced(other, entry, exchanges, cx);
+        }
+    }
+    cx.engine.remove_gone();
+    let details = format_args!("event {}, {} lines", list_event.position, entries.len());
+    cx.log.line(cx.now, "list", details);
+}
+
+/// Removes an exchange whose address now belongs to another one, as if the list had reported that it is gone.
+fn remove_displaced(exchange: ExchangeId, by: &NamedEntry, exchanges: &mut Exchanges, cx: &mut Context) {
+    let Some(entry) = cx.engine.gone_entry(exchange) else {
+        return;
+    };
+    let details = format_args!("exchange={} by={}", entry.name, by.name);
+    cx.log.line(cx.now, "exchange-displaced", details);
+    cx.engine.update_list(cx.now, false, &[entry], cx.timers);
+    exchanges.remove_exchange(exchange, cx);
+}
+
 /// Prefixes an I/O error with the configuration key or environment variable that caused it.
 fn error_with_key(key: &str) -> impl Fn(io::Error) -> io::Error + '_ {
     move |e| io::Error::new(e.kind(), format!("{key}: {e}"))
--- a/node/tests/replaced_exchanges.rs
+++ b/node/tests/replaced_exchanges.rs
@@ -6,6 +6,9 @@
 use std::time::{Duration, Instant};
 
 const TAG: &str = "9b1f03aa5c7e2d41";
+const OTHER_TAG: &str = "00000000000000aa";
+/// Nothing new is sent to an exchange later than this after the news that it is gone.
+const DRAIN_GRACE: Duration = Duration::from_millis(550);
 /// A call is not set up again within this time after its attempt was cancelled.
 const RELEASE_DELAY: Duration = Duration::from_millis(500);
 
@@ -60,6 +63,29 @@
     assert!(client.receive().contains(r#""rc":16"#), "the caller is not released");
 }
 
+/// Guards against set-ups for an exchange whose address another one has got, before the list reports that it is gone, and
+/// against calls there whose end is never told.
+#[test]
+fn exchange_whose_address_another_one_has_got_is_gone() {
+    let mut harness = Harness::new();
+    let mut old_process = LinePeer::accept(&harness.listener);
+    let mut client = harness.daemon.connect_client();
+    establish_call(&mut old_process, &mut client, TAG);
+    let addr = harness.addr;
+    harness.tell(2, &[server_entry("s-new", 2, "in_service", addr)]);
+    let told_at = Instant::now();
+    assert!(client.receive().contains(r#""rc":41"#), "the call at the old process is not released");
+    client.send_start(OTHER_TAG, 900, 1);
+    assert!(client.receive().contains(OTHER_TAG), "the call is not answered");
+    assert!(told_at.elapsed() < Duration::from_secs(2));
+    let mut new_process = LinePeer::accept(&harness.listener);
+    for process in [&mut old_process, &mut new_process] {
+        while let Some(line) = process.receive_within(DRAIN_GRACE).filter(|line| !line.is_empty()) {
+            assert!(!line.contains("START"), "sent to the wrong exchange: {line}");
+        }
+    }
+}
+
 /// Guards against a new process at the address of a SIP exchange that is sent an INVITE of the old one again.
 #[test]
 fn invite_is_not_retransmitted_to_the_process_that_replaces_its_exchange() {
