Give no transaction beyond the limit to a BYE that is out of order

One with an old CSeq is answered 500 and ends nothing, so a caller could have any number of them kept, each under a branch of its own.

Change: only a BYE that is in order, and so ends the call, is admitted beyond the limit.

--- a/node/src/net/sip/incoming.rs
+++ b/node/src/net/sip/incoming.rs
@@ -117,7 +117,9 @@
     fn ends_call(&self, request: &Message, method: &Method, leg_token: Option<Token>) -> bool {
         let leg = leg_token.and_then(|token| self.legs.get(token));
         match *method {
-            Method::BYE => leg.is_some_and(|leg| leg.state != LegState::Terminated),
+            Method::BYE => {
+                leg.is_some_and(|leg| leg.state != LegState::Terminated && leg.expects(request))
+            }
             Method::CANCEL => self
                 .transactions
                 .invite_of_cancel(request)
@@ -274,7 +276,7 @@
         else {
             return self.respond(transaction, &bye.headers, 481, &[], cx.now);
         };
-        if bye.cseq.cseq <= leg.dialog.remote_cseq && matches!(leg.party, Party::Caller(_)) {
+        if !leg.expects(bye) {
             return self.respond(transaction, &bye.headers, 500, &[], cx.now);
         }
         leg.dialog.remote_cseq = bye.cseq.cseq;
@@ -418,6 +420,13 @@
     }
 }
 
+impl Leg {
+    /// Whether a request within the dialog is in order. The first one of an exchange may have any sequence number.
+    fn expects(&self, request: &Message) -> bool {
+        request.cseq.cseq > self.dialog.remote_cseq || matches!(self.party, Party::Exchange(_))
+    }
+}
+
 /// The called number in the form that the decision module uses: the value of the text if it is a hexadecimal
 /// number of at most 64 bits, otherwise its FNV-1a hash.
 fn dialled_number(called_number: &str) -> DialledNumber {
