Tell callers of calls at SIP exchanges of their end after a restart

Cause: the shutdown ended all dialogs, also those whose caller could not be told, and a BYE in a dialog of an earlier process named no call of a caller.

Change: such a dialog is left to its exchange. The Call-ID of a call from the lines' front contains the caller's id, by which the next process knows whose call the BYE ends. It is taken from hosts of configured exchanges alone. Also after a crash.

Measured: the test in node/tests/restart.rs failed before and passes.

--- a/node/src/engine/liveness.rs
+++ b/node/src/engine/liveness.rs
@@ -79,6 +79,11 @@
         self.attempts.get(attempt.0).map(|a| a.exchange)
     }
 
+    /// The call of an attempt.
+    pub fn attempt_call(&self, attempt: AttemptToken) -> Option<CallToken> {
+        self.attempts.get(attempt.0).map(|a| a.call)
+    }
+
     /// The exchange has closed a connection gracefully. `in_response` says whether this side had closed it
     /// first.
     pub fn peer_closed(
--- a/node/src/net/clients/earlier_calls.rs
+++ b/node/src/net/clients/earlier_calls.rs
@@ -5,7 +5,6 @@
 use super::{Clients, Release, PENDING_RELEASE_TIMEOUT};
 use crate::arena::Token;
 use crate::engine::ReleaseCause;
-use crate::net::handover::UnmatchedRelease;
 use crate::net::Context;
 use std::collections::{BTreeSet, HashSet, VecDeque};
 use std::net::IpAddr;
@@ -51,8 +50,8 @@
     }
 
     /// Adds a release, unless the call is one of this process or its release was received before.
-    fn add(&mut self, release: &UnmatchedRelease, now: Duration) -> bool {
-        let is_new = id_number(&release.tag).is_some_and(|id| self.own_ids.insert(id));
+    fn add(&mut self, tag: &str, cause: ReleaseCause, now: Duration) -> bool {
+        let is_new = id_number(tag).is_some_and(|id| self.own_ids.insert(id));
         if !is_new {
             return false;
         }
@@ -61,8 +60,8 @@
             self.releases.pop_front();
         }
         self.releases.push_back(EarlierRelease {
-            tag: release.tag.clone(),
-            cause: release.cause,
+            tag: tag.to_owned(),
+            cause,
             expires_at: now + PENDING_RELEASE_TIMEOUT,
             informed_hosts: BTreeSet::new(),
         });
@@ -101,16 +100,15 @@
 
     /// Handles a release under an id that no call has: if an earlier process has established the call, its caller is
     /// told.
-    pub(super) fn release_earlier_call(&mut self, release: &UnmatchedRelease, cx: &mut Context) {
+    pub fn release_earlier_call(&mut self, tag: &str, cause: ReleaseCause, cx: &mut Context) {
         let Some(earlier_calls) = self.earlier_calls.as_mut() else {
             return;
         };
-        if !earlier_calls.add(release, cx.now) {
+        if !earlier_calls.add(tag, cause, cx.now) {
             return;
         }
         self.released_earlier_calls += 1;
-        let details = format_args!("call={} exchange={}", release.tag, release.exchange);
-        cx.log.line(cx.now, "earlier-call-released", details);
+        cx.log.line(cx.now, "earlier-call-released", format_args!("call={tag}"));
         let hosts: BTreeSet<_> = self.conns.iter().map(|(_, client)| client.peer).collect();
         for host in hosts {
             if let Some(token) = self.release_connection_to_host(host) {
@@ -139,20 +137,15 @@
 mod tests {
     use super::*;
 
-    fn release(tag: &str) -> UnmatchedRelease {
-        let (tag, exchange) = (tag.to_owned(), "s-one".to_owned());
-        UnmatchedRelease { tag, exchange, cause: ReleaseCause::Normal }
-    }
-
     /// Guards against a release that is sent to the same host twice, or to a caller that connects long afterwards.
     #[test]
     fn a_release_is_sent_to_each_host_once_until_it_expires() {
         let (now, hosts) =
             (Duration::from_secs(1), [IpAddr::from([127, 0, 0, 2]), [127, 0, 0, 3].into()]);
         let mut calls = EarlierCalls::new(8);
-        assert!(calls.add(&release("9b1f03aa5c7e2d41"), now));
-        assert!(!calls.add(&release("9b1f03aa5c7e2d41"), now), "a repeated release");
-        assert!(!calls.add(&release("not an id"), now));
+        assert!(calls.add("9b1f03aa5c7e2d41", ReleaseCause::Normal, now));
+        assert!(!calls.add("9b1f03aa5c7e2d41", ReleaseCause::Normal, now), "a repeated release");
+        assert!(!calls.add("not an id", ReleaseCause::Normal, now));
         assert_eq!(calls.take_for_host(hosts[0], now).len(), 1);
         assert_eq!(calls.take_for_host(hosts[0], now).len(), 0);
         assert_eq!(calls.take_for_host(hosts[1], now + PENDING_RELEASE_TIMEOUT).len(), 0);
--- a/node/src/net/clients/handover.rs
+++ b/node/src/net/clients/handover.rs
@@ -45,7 +45,7 @@
         self.write_handover(&record, cx);
         self.return_release(&record, cx);
         if let Record::UnmatchedRelease(release) = &record {
-            self.release_earlier_call(release, cx);
+            self.release_earlier_call(&release.tag, release.cause, cx);
         }
     }
 
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -13,7 +13,7 @@
 
 use crate::arena::Token;
 use crate::config::{Config, ListEvent, WireConfig};
-use crate::engine::{Command, Engine, EngineTimer};
+use crate::engine::{Command, Engine, EngineTimer, ReleaseCause};
 use crate::log::Log;
 use crate::stats::{self, HostStats, Reloads};
 use crate::timers::TimerQueue;
@@ -410,7 +410,8 @@
             }
         }
         if cx.lifecycle.ends_dialogs(now) && cx.engine.unanswered_calls() == 0 {
-            sip.iter_mut().for_each(|s| s.end_dialogs(&mut cx));
+            let is_reachable = |call| clients.is_caller_reachable(call);
+            sip.iter_mut().for_each(|s| s.end_dialogs(is_reachable, &mut cx));
         }
         loop {
             while let Some(request) = cx.engine.next_connection_request() {
@@ -442,6 +443,9 @@
             for release in exchanges.take_unmatched_releases() {
                 clients.pass_on_unmatched(release, &mut cx);
             }
+            for tag in sip.iter_mut().flat_map(Sip::take_ended_earlier_calls) {
+                clients.release_earlier_call(&tag, ReleaseCause::Normal, &mut cx);
+            }
             clients.end_connections(&mut cx);
             exchanges.end_connections(&mut cx);
             sip.iter_mut().for_each(|s| s.end_failed_streams(&mut cx));
--- a/node/src/net/sip/incoming.rs
+++ b/node/src/net/sip/incoming.rs
@@ -3,11 +3,12 @@
 use super::dialog::Dialog;
 use super::message::{self, Message};
 use super::transaction::{Admission, ReceiveResult, Target};
-use super::{Leg, LegState, Party, Sip, ALLOW, LEG_OVERHEAD_BYTES};
+use super::{Leg, LegState, Party, Sip, ALLOW, CALLER_ID_SEPARATOR, LEG_OVERHEAD_BYTES};
 use crate::arena::Token;
 use crate::config::{SipConfig, SipNumber};
 use crate::end::EndReason;
 use crate::engine::{CallInfo, IncomingCall};
+use crate::net::lines::is_16_hex_digits;
 use crate::net::Context;
 use ezk_sip_types::header::typed::{Expires, RetryAfter};
 use ezk_sip_types::{Headers, Method, Name};
@@ -66,7 +67,10 @@
                 } else if method == Method::BYE {
                     match leg_token {
                         Some(leg_token) => self.handle_bye(leg_token, &request, transaction, cx),
-                        None => respond(self, 481, &[]),
+                        None => {
+                            self.record_ended_earlier_call(&request, source);
+                            respond(self, 481, &[])
+                        }
                     }
                 } else if is_new_call && self.is_merged_request(&request) {
                     respond(self, 482, &[]);
@@ -100,6 +104,14 @@
         Some(leg_token)
     }
 
+    /// Records the BYE of an exchange for a dialog that is not known here: an earlier process may have set the call up.
+    fn record_ended_earlier_call(&mut self, bye: &Message, source: Target) {
+        let exchanges = self.config.exchanges.values();
+        if exchanges.into_iter().any(|exchange| exchange.addr.ip() == source.addr.ip()) {
+            self.ended_earlier_calls.extend(caller_id(&bye.call_id));
+        }
+    }
+
     /// Whether a call exists here, or has ended recently, that was set up by the same INVITE, received on another path
     /// (RFC 3261, section 8.2.2.2).
     fn is_merged_request(&self, invite: &Message) -> bool {
@@ -139,6 +151,9 @@
     ) {
         cx.log.line(cx.now, "sip-full", format_args!("{method} from {}", source.addr));
         let tag = self.random_id();
+        if *method == Method::BYE {
+            self.record_ended_earlier_call(request, source);
+        }
         let bytes = match *method {
             Method::BYE | Method::CANCEL => message::response(&request.headers, 481, &tag, &[], ""),
             _ => {
@@ -420,6 +435,12 @@
     }
 }
 
+/// The caller's id in a Call-ID, if it is that of an exchange's leg of a call from the lines' front.
+fn caller_id(call_id: &str) -> Option<String> {
+    let (id, _) = call_id.split_once(CALLER_ID_SEPARATOR)?;
+    is_16_hex_digits(id).then(|| id.to_owned())
+}
+
 impl Leg {
     /// Whether a request within the dialog is in order. The first one of an exchange may have any sequence number.
     fn expects(&self, request: &Message) -> bool {
--- a/node/src/net/sip/mod.rs
+++ b/node/src/net/sip/mod.rs
@@ -28,6 +28,8 @@
 
 /// Maximum datagrams received per iteration of the event loop.
 const MAX_DATAGRAMS_PER_ITERATION: usize = 64;
+/// Separates the caller's id from the random part of the Call-ID of an exchange's leg.
+const CALLER_ID_SEPARATOR: char = '.';
 /// Memory that a leg takes besides its messages: its state, its dialog and its keys.
 const LEG_OVERHEAD_BYTES: usize = 2048;
 /// Value of the Allow header field: the supported methods.
@@ -129,6 +131,8 @@
     legs_by_options: HashMap<Token, Token>,
     /// Actions that the transactions have asked for and that are not carried out yet.
     pending_output: Vec<Output>,
+    /// See [`Sip::take_ended_earlier_calls`].
+    ended_earlier_calls: Vec<String>,
     /// More datagrams than one iteration of the event loop receives may be waiting.
     may_have_datagrams: bool,
     /// State of the generator of [`Sip::random_id`].
@@ -158,6 +162,7 @@
             legs_by_invite: HashMap::new(),
             legs_by_options: HashMap::new(),
             pending_output: Vec::new(),
+            ended_earlier_calls: Vec::new(),
             may_have_datagrams: false,
             random_state: seed,
         })
@@ -205,10 +210,25 @@
         self.transport.is_flushed() && !self.transactions.has_pending_requests()
     }
 
+    /// Takes the ids of callers whose calls were ended by a BYE of an exchange, and set up by an earlier process.
+    pub fn take_ended_earlier_calls(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.ended_earlier_calls)
+    }
+
     /// Ends all dialogs at a graceful shutdown: once this front has stopped, the end of a call could no longer be
-    /// passed on from one leg to the other.
-    pub fn end_dialogs(&mut self, cx: &mut Context) {
-        let has_dialog = |leg: &Leg| matches!(leg.state, LegState::AwaitingAck | LegState::Confirmed);
+    /// passed on from one leg to the other. A dialog with an exchange is left if the caller is not reachable; a later
+    /// process is told of its end.
+    pub fn end_dialogs(&mut self, is_reachable: impl Fn(CallToken) -> bool, cx: &mut Context) {
+        let has_caller = |leg: &Leg| match leg.party {
+            Party::Caller(_) => true,
+            Party::Exchange(attempt) => cx
+                .engine
+                .attempt_call(attempt)
+                .is_none_or(|call| self.legs_by_call.contains_key(&call) || is_reachable(call)),
+        };
+        let has_dialog = |leg: &Leg| {
+            matches!(leg.state, LegState::AwaitingAck | LegState::Confirmed) && has_caller(leg)
+        };
         let legs: Vec<_> = self
             .legs
             .iter()
--- a/node/tests/restart.rs
+++ b/node/tests/restart.rs
@@ -186,6 +186,43 @@
     (daemon, exchange, sip_exchange)
 }
 
+/// Guards against calls of the lines' front at a SIP exchange whose callers are not connected at a planned restart: the
+/// next process is told of the end and tells them.
+#[test]
+fn bye_after_a_restart_reaches_the_caller_that_has_returned() {
+    let journal = StubJournal::new();
+    let (mut daemon, _exchange, mut sip_exchange) = start_with_both_fronts(&journal);
+    let mut caller = daemon.connect_client();
+    caller.send_start(TAG, 3000, 2);
+    let invite = sip_exchange.expect_message("INVITE");
+    let sip_addr = sip_exchange.local_addr();
+    sip_exchange.send(&sip_response(&invite, "200 OK", sip_addr, "v=0\r\n"));
+    sip_exchange.expect_message("ACK");
+    assert!(caller.receive().contains("STARTED"));
+    drop(caller);
+    daemon.send_sigterm();
+    assert!(daemon.exits_successfully());
+    assert_eq!(
+        sip_exchange.receive_new_within(SETTLE_TIME),
+        None,
+        "the call is ended without its caller"
+    );
+    let (mut daemon, _exchange, _) = start_with_both_fronts(&journal);
+    let mut sender = SipPeer::udp(daemon.sip_addr("udp"));
+    let bye = format!(
+        "BYE sip:slateshed SIP/2.0\r\nVia: SIP/2.0/UDP {};branch=z9hG4bKb1\r\nMax-Forwards: 70\r\n\
+         From: {};tag=callee\r\nTo: {}\r\nCall-ID: {}\r\nCSeq: 1 BYE\r\nContent-Length: 0\r\n\r\n",
+        sender.local_addr(),
+        sip_header(&invite, "To"),
+        sip_header(&invite, "From"),
+        sip_header(&invite, "Call-ID"),
+    );
+    sender.send(&bye);
+    sender.expect_message("SIP/2.0 481");
+    let mut caller = daemon.connect_client();
+    expect_release(&mut caller, TAG, Instant::now() + MAX_RELEASE_FORWARD_DELAY);
+}
+
 /// Guards against calls with a leg on each front whose other leg is never released at a planned restart.
 #[test]
 fn planned_restart_releases_both_legs_of_calls_between_the_fronts() {
