--- a/node/src/net/clients.rs
+++ b/node/src/net/clients.rs
@@ -4,24 +4,23 @@
 mod handover;
 mod recent_ids;
 mod releases;
+mod set_ups;
 
 use super::conn::Conn;
 use super::handover::{HandoverWriter, Record};
-use super::lines::{encode_message, is_16_hex_digits, list_value, Message};
+use super::lines::{encode_message, Message};
 use super::{lifecycle, Context, SourceKind, TimerEvent, ACCEPT_BATCH, MESSAGE_TIMEOUT};
 use crate::arena::{Arena, Token};
-use crate::config::{Limits, WireConfig};
+use crate::config::Limits;
 use crate::end::EndReason;
-use crate::engine::{CallInfo, CallToken, Command, IncomingCall, ReleaseCause};
+use crate::engine::{CallToken, Command, ReleaseCause};
 use earlier_calls::EarlierCalls;
 use mio::net::{TcpListener, TcpStream};
 use mio::Interest;
 use recent_ids::RecentIds;
-use slateshed::{DialledNumber, ExchangeNumber, Origin};
 use std::collections::{HashMap, VecDeque};
 use std::io::ErrorKind;
 use std::net::IpAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 /// Cause of a final answer: the call is refused.
@@ -50,11 +49,6 @@
 /// Delay before a new connection is read while the process that this one replaces is running. A client that has just
 /// left that process may come again with the same call, which is given up there first.
 const NEW_CLIENT_DELAY: Duration = Duration::from_millis(50);
-/// Tolerance for clock differences and rounding when a caller's patience is compared with the deadline of its
-/// class.
-const DEADLINE_TOLERANCE: Duration = Duration::from_millis(100);
-/// Upper limit of the number of an exchange and of the circuits of a call.
-const MAX_LIST_NUMBER: f64 = 65_535.0;
 /// Maximum number of releases that wait for a connection.
 const MAX_PENDING_RELEASES: usize = 4096;
 
@@ -501,86 +495,6 @@
         }
     }
 
-    fn handle_set_up(
-        &mut self,
-        token: Token,
-        message: Message,
-        cx: &mut Context,
-    ) -> Result<(), EndReason> {
-        // A client that has closed its side has given the set-up up.
-        let Some(peer) = self.conns.get(token).filter(|c| !c.has_left).map(|c| c.peer) else {
-            return Ok(());
-        };
-        // A set-up without a valid id cannot be answered. If it were forwarded, the exchange would close its
-        // connection, and all other set-ups on that connection would be lost.
-        if !is_16_hex_digits(&message.tag) {
-            return Err(EndReason::MalformedMessage);
-        }
-        let first_connection =
-            self.by_tag.get(&message.tag).map(|call| self.calls.get(call).map(|c| c.conn));
-        if first_connection == Some(Some(token)) {
-            // The client would take an answer under this id for the answer to the existing call.
-            cx.log.line(cx.now, "set-up-twice", &message.tag);
-            return Err(EndReason::MalformedMessage);
-        }
-        let tag = message.tag.clone();
-        self.record_own_id(&tag);
-        let new = match parse_set_up(message, cx.wire) {
-            Ok(new) => new,
-            Err(field) => {
-                // The set-up has a valid id, so the call is answered as failed and the connection is kept.
-                cx.log.line(cx.now, "set-up-malformed", format_args!("{tag}: {field}"));
-                self.mark_as_caller(token);
-                self.answer(token, &encode_message("FINISH", &tag, &[], Some(CAUSE_FAILED), None));
-                return Ok(());
-            }
-        };
-        let refused_by_drain = match cx.lifecycle.client_policy(cx.now) {
-            lifecycle::ClientPolicy::Keep => false,
-            lifecycle::ClientPolicy::Close(cutoff) => self.is_kept_for_calls(token, cutoff),
-            lifecycle::ClientPolicy::Refuse(_) => true,
-        };
-        // A client that has come again with a call may have left the connection on which the call is unanswered.
-        let repeated_within = match first_connection {
-            Some(_) => Some(cx.engine.release_delay()),
-            None => self.recent_ids.time_left(&tag, cx.now),
-        };
-        let is_full = self.unanswered_calls >= self.limits.max_unanswered_calls();
-        if let Some(wait) = repeated_within {
-            cx.log.line(cx.now, "set-up-repeated", format_args!("call={tag}"));
-            cx.engine.count_refused(new.class);
-            let wait = cx.engine.max_retry_after().map(|longest| wait.min(longest));
-            self.answer(token, &encode_refusal(&tag, wait));
-        } else if refused_by_drain || is_full {
-            if !refused_by_drain {
-                cx.log.line(
-                    cx.now,
-                    "too-many-calls",
-                    format_args!("{} unanswered", self.unanswered_calls),
-                );
-            }
-            cx.engine.count_refused(new.class);
-            // No retry delay is given while draining, because another controller can take the call at once.
-            let wait = cx.engine.max_retry_after().filter(|_| !refused_by_drain);
-            self.answer(token, &encode_refusal(&tag, wait));
-        } else {
-            if let Some(client) = self.conns.get_mut(token) {
-                client.unanswered += 1;
-            }
-            self.unanswered_calls += 1;
-            let call = cx.engine.new_call(cx.now, new, cx.timers);
-            self.by_tag.insert(tag.clone(), call);
-            self.calls.insert(
-                call,
-                ClientCall { tag, conn: token, peer, is_unanswered: true, is_established: false },
-            );
-        }
-        // A set-up identifies the client as a caller, so pending releases may be sent to it.
-        self.mark_as_caller(token);
-        self.send_pending_releases(token, None, cx);
-        Ok(())
-    }
-
     fn mark_as_caller(&mut self, token: Token) {
         if let Some(client) = self.conns.get_mut(token) {
             client.is_caller = true;
@@ -773,43 +687,3 @@
     let opts: Vec<_> = wait.iter().map(|wait| ("wait", wait.as_str())).collect();
     encode_message("FINISH", tag, &opts, Some(CAUSE_REFUSED), None)
 }
-
-/// Parses a set-up; the error names the invalid field. Fields forwarded unchanged must be valid for the
-/// exchange, because it closes its connection on any invalid message. A number in `extras` that is out of range
-/// is not clamped: it counts as absent.
-fn parse_set_up(message: Message, wire: &WireConfig) -> Result<IncomingCall, &'static str> {
-    let class = wire.classes.iter().position(|c| c == message.opt("class")).ok_or("class")?;
-    let left: f64 = message.opt("left").parse().map_err(|_| "left")?;
-    let patience = slateshed_settings::duration(left).ok_or("left")?;
-    if patience.is_zero() || patience > wire.deadlines[class] + DEADLINE_TOLERANCE {
-        return Err("left");
-    }
-    let key = Some(message.opt("key")).filter(|k| is_16_hex_digits(k)).ok_or("key")?;
-    let dialled = u64::from_str_radix(key, 16).map_err(|_| "key")?;
-    let extras = message.opt("extras");
-    let count = |name| {
-        let whole = |x: &f64| x.fract() == 0.0 && (0.0..=MAX_LIST_NUMBER).contains(x);
-        list_value(extras, name).filter(whole).map(|x| x as u32)
-    };
-    let flag = |name| count(name).is_some_and(|x| x != 0);
-    let origin = match () {
-        () if flag("transit") => Origin::Transit,
-        () if flag("again") => Origin::DroppedCall,
-        () => Origin::Subscriber,
-    };
-    Ok(IncomingCall {
-        class,
-        dialled: DialledNumber(dialled),
-        patience,
-        destination: ExchangeNumber(count("dest").ok_or("extras.dest")?),
-        circuits: count("width").filter(|w| *w > 0).ok_or("extras.width")?,
-        route_hint: count("via").map(ExchangeNumber),
-        origin,
-        info: Rc::new(CallInfo {
-            class: message.opt("class").to_owned(),
-            dialled_text: key.to_owned(),
-            description: message.blob.ok_or("blob")?,
-            id: message.tag,
-        }),
-    })
-}
