Answer SIP requests that concern no call without a transaction

Cause: each request got a transaction, whatever it was for.

Change: only INVITEs, and the BYEs and CANCELs of calls that exist, have one. Others get their response directly, the same one for a retransmission.

--- a/node/src/net/sip/incoming.rs
+++ b/node/src/net/sip/incoming.rs
@@ -3,7 +3,7 @@
 use super::dialog::Dialog;
 use super::message::{self, Message};
 use super::transaction::{Admission, ReceiveResult, Target};
-use super::{Leg, LegState, Party, Sip, ALLOW, CALLER_ID_SEPARATOR, LEG_OVERHEAD_BYTES};
+use super::{Leg, LegState, Party, Sip, CALLER_ID_SEPARATOR, LEG_OVERHEAD_BYTES};
 use crate::arena::Token;
 use crate::config::{SipConfig, SipNumber};
 use crate::end::EndReason;
@@ -41,6 +41,9 @@
             return;
         }
         let leg_token = self.leg_of_request(&request);
+        if !self.needs_transaction(&request, &method, leg_token) {
+            return self.answer_without_transaction(&request, &method, leg_token, source, cx);
+        }
         let admission = match self.ends_call(&request, &method, leg_token) {
             true => Admission::Always,
             false => Admission::IfRoom,
@@ -64,33 +67,21 @@
                     respond(self, 420, &[("Unsupported", extensions)]);
                 } else if method == Method::CANCEL {
                     self.handle_cancel(&request, transaction, cx);
-                } else if method == Method::BYE {
-                    match leg_token {
-                        Some(leg_token) => self.handle_bye(leg_token, &request, transaction, cx),
-                        None => {
-                            self.record_ended_earlier_call(&request, source);
-                            respond(self, 481, &[])
-                        }
-                    }
+                } else if let Some(leg_token) = leg_token.filter(|_| method == Method::BYE) {
+                    self.handle_bye(leg_token, &request, transaction, cx);
                 } else if is_new_call && self.is_merged_request(&request) {
                     respond(self, 482, &[]);
                 } else if is_new_call {
                     self.handle_invite(&request, transaction, source, cx);
-                } else if method == Method::INVITE {
+                } else {
                     // A re-INVITE is rejected: the session description of an established call can't be changed.
                     respond(self, if leg_token.is_some() { 488 } else { 481 }, &[]);
-                } else if method == Method::OPTIONS && !cx.lifecycle.is_ready() {
-                    // While this process drains or stops, a 503 makes peers that poll with OPTIONS send their calls
-                    // elsewhere. Calls that arrive nevertheless are accepted.
-                    respond(self, 503, &[]);
-                } else if method == Method::OPTIONS {
-                    respond(self, 200, &[("Allow", ALLOW), ("Accept", "application/sdp")]);
-                } else {
-                    respond(self, 405, &[("Allow", ALLOW)]);
                 }
             }
             ReceiveResult::Ack => self.handle_ack(&request, cx),
-            ReceiveResult::TableFull => self.reject_without_transaction(&request, &method, source, cx),
+            ReceiveResult::TableFull => {
+                self.reject_for_lack_of_room(&request, &method, FULL_RETRY_AFTER_SECS, source, cx)
+            }
             ReceiveResult::Response(_) | ReceiveResult::Absorbed | ReceiveResult::Stray => {}
         }
     }
@@ -105,7 +96,7 @@
     }
 
     /// Records the BYE of an exchange for a dialog that is not known here: an earlier process may have set the call up.
-    fn record_ended_earlier_call(&mut self, bye: &Message, source: Target) {
+    pub(super) fn record_ended_earlier_call(&mut self, bye: &Message, source: Target) {
         let exchanges = self.config.exchanges.values();
         if exchanges.into_iter().any(|exchange| exchange.addr.ip() == source.addr.ip()) {
             self.ended_earlier_calls.extend(caller_id(&bye.call_id));
@@ -126,7 +117,12 @@
 
     /// Whether a request ends a call: the BYE of a dialog, or the CANCEL of an INVITE without a final response. It is
     /// never rejected for lack of room, as its sender need not repeat it (RFC 3261, section 15.1.1).
-    fn ends_call(&self, request: &Message, method: &Method, leg_token: Option<Token>) -> bool {
+    pub(super) fn ends_call(
+        &self,
+        request: &Message,
+        method: &Method,
+        leg_token: Option<Token>,
+    ) -> bool {
         let leg = leg_token.and_then(|token| self.legs.get(token));
         match *method {
             Method::BYE => {
@@ -140,30 +136,6 @@
         }
     }
 
-    /// Answers a request for which there is no room. A BYE and a CANCEL get the answer that they would get with a
-    /// transaction, too, as they concern no call that exists here.
-    fn reject_without_transaction(
-        &mut self,
-        request: &Message,
-        method: &Method,
-        source: Target,
-        cx: &mut Context,
-    ) {
-        cx.log.line(cx.now, "sip-full", format_args!("{method} from {}", source.addr));
-        let tag = self.random_id();
-        if *method == Method::BYE {
-            self.record_ended_earlier_call(request, source);
-        }
-        let bytes = match *method {
-            Method::BYE | Method::CANCEL => message::response(&request.headers, 481, &tag, &[], ""),
-            _ => {
-                let extra_headers = [("Retry-After", FULL_RETRY_AFTER_SECS)];
-                message::response(&request.headers, 503, &tag, &extra_headers, "")
-            }
-        };
-        let _ = self.transport.send(source, &bytes, cx);
-    }
-
     /// Sends a response without a body in a server transaction.
     pub(super) fn respond(
         &mut self,
--- a/node/src/net/sip/mod.rs
+++ b/node/src/net/sip/mod.rs
@@ -7,6 +7,7 @@
 pub mod dialog;
 mod incoming;
 pub mod message;
+mod stateless;
 pub mod transaction;
 pub mod transport;
 
@@ -19,6 +20,7 @@
 use ezk_sip_types::Headers;
 use message::Malformed;
 use slateshed::ExchangeNumber;
+use stateless::StatelessTags;
 use std::collections::HashMap;
 use std::io;
 use std::rc::Rc;
@@ -135,6 +137,8 @@
     ended_earlier_calls: Vec<String>,
     /// More datagrams than one iteration of the event loop receives may be waiting.
     may_have_datagrams: bool,
+    /// To tags of responses without a transaction.
+    stateless_tags: StatelessTags,
     /// State of the generator of [`Sip::random_id`].
     random_state: u64,
 }
@@ -164,6 +168,7 @@
             pending_output: Vec::new(),
             ended_earlier_calls: Vec::new(),
             may_have_datagrams: false,
+            stateless_tags: StatelessTags::new(),
             random_state: seed,
         })
     }
--- a/node/src/net/sip/transaction.rs
+++ b/node/src/net/sip/transaction.rs
@@ -469,6 +469,11 @@
         }))
     }
 
+    /// Whether a received request belongs to a server transaction that exists.
+    pub fn is_known(&self, message: &Message, method: &Method) -> bool {
+        self.tokens_by_key.contains_key(&server_key(message, method))
+    }
+
     /// The server transaction of the INVITE that a CANCEL refers to. It may have sent its final response already.
     pub fn invite_of_cancel(&self, cancel: &Message) -> Option<Token> {
         let token = *self.tokens_by_key.get(&server_key(cancel, &Method::INVITE))?;
