Write releases at once that are sent again when a connection ends at the end of a turn

Since answers are queued and written at the end of an iteration, a release that was queued by the end of a connection in that same step waited for the next event, up to 1 s. Found by reading; the step now writes what it has queued. The new test in releases.rs covers the ordinary path, on which nothing waited: it passed before too.

--- a/node/src/net/clients.rs
+++ b/node/src/net/clients.rs
@@ -620,6 +620,8 @@
                 self.close_idle(cutoff, cx)
             }
         }
+        // The end of a connection may have a release sent again on another one.
+        self.flush();
     }
 
     /// Closes the connections that have been sent all their answers, have no release in flight and are not
--- a/node/tests/releases.rs
+++ b/node/tests/releases.rs
@@ -55,3 +55,25 @@
     daemon.wait_for_log("call-released");
     expect_release_to_new_caller(&mut daemon, &mut exchange);
 }
+
+/// Guards against a release that was queued for another connection, as its own one has closed, and is written only when
+/// something else happens.
+#[test]
+fn release_that_is_sent_again_is_written_at_once() {
+    const MAX_DELAY: Duration = Duration::from_millis(400);
+    let (exchange_listener, addr) = bind_listener();
+    let journal = StubJournal::new();
+    let servers =
+        [server_entry("s-own", 0, "in_service", addr), server_entry("s-one", 1, "in_service", addr)];
+    let mut daemon = Daemon::start(&config_json(journal.addr, &servers), None);
+    let mut exchange = LinePeer::accept(&exchange_listener);
+    let (mut caller, mut other) = (daemon.connect_client(), daemon.connect_client());
+    establish_call(&mut exchange, &mut other, "00000000000000aa");
+    establish_call(&mut exchange, &mut caller, TAG);
+    exchange.send(RELEASE);
+    daemon.wait_for_log("call-released");
+    drop(caller);
+    let closed_at = Instant::now();
+    assert!(other.receive().contains(TAG), "the release is not sent again");
+    assert!(closed_at.elapsed() < MAX_DELAY, "sent again after {:?}", closed_at.elapsed());
+}
