Answer an INVITE that comes again on another stream where it was received

Cause: it was taken for a retransmission, and the transaction's last response went to the stream that had ended.

Change: the transaction of a call that is given up with its stream ends with it, so that the INVITE is answered 482; over TCP a retransmission is answered on the stream on which it came.

Measured: the test in node/tests/left_clients.rs failed before and passes.

--- a/node/src/net/sip/mod.rs
+++ b/node/src/net/sip/mod.rs
@@ -414,7 +414,13 @@
         for (leg_token, party) in ended_legs {
             self.terminate_leg(leg_token, cx);
             match party {
-                Party::Caller(call) => cx.engine.caller_ended(cx.now, call, cx.timers),
+                Party::Caller(call) => {
+                    // An INVITE that comes again on another stream is answered there.
+                    if let Some(leg) = self.legs.get(leg_token) {
+                        self.transactions.terminate(leg.invite_transaction);
+                    }
+                    cx.engine.caller_ended(cx.now, call, cx.timers)
+                }
                 Party::Exchange(attempt) => {
                     cx.engine.attempt_ended(cx.now, attempt, end_reason, cx.timers)
                 }
--- a/node/src/net/sip/transaction.rs
+++ b/node/src/net/sip/transaction.rs
@@ -424,6 +424,10 @@
             let Some(transaction) = self.table.get_mut(token) else {
                 return ReceiveResult::Absorbed;
             };
+            if source.protocol == Protocol::Tcp {
+                // The responses are sent on the stream on which the request was received last.
+                transaction.target = source;
+            }
             match (transaction.kind, transaction.state) {
                 (Kind::InviteServer, State::Completed) if *method == Method::ACK => {
                     transaction.state = State::Confirmed;
--- a/node/tests/left_clients.rs
+++ b/node/tests/left_clients.rs
@@ -218,3 +218,35 @@
     let received = exchange.receive_within(SETTLE_TIME);
     assert!(!received.as_ref().is_some_and(|line| line.contains("START")), "set up again: {received:?}");
 }
+
+/// Guards against a call whose INVITE comes again on another stream, after its peer has left the first one, and gets no
+/// final response there or is set up again.
+#[test]
+fn invite_that_comes_again_on_another_stream_gets_a_final_response() {
+    let journal = StubJournal::new();
+    let (mut daemon, mut exchange) = start_with_sip_front(&journal);
+    let addr = daemon.sip_addr("tcp");
+    let connect = || SipPeer::tcp(TcpStream::connect(addr).expect("the SIP front listens"));
+    let mut caller = connect();
+    let invite = sip_request("INVITE", &caller, 1, "", "", "v=0\r\n");
+    caller.send(&invite);
+    caller.expect_message("SIP/2.0 100");
+    exchange.receive_start();
+    drop(caller);
+    assert!(exchange.receive().contains("FINISH"), "the call is not given up");
+    let mut caller = connect();
+    caller.send(&invite);
+    caller.expect_message("SIP/2.0 482");
+    // The call is given up by a CANCEL, and its INVITE comes again on another stream.
+    let invite = sip_request("INVITE", &caller, 2, "", "", "v=0\r\n");
+    caller.send(&invite);
+    caller.expect_message("SIP/2.0 100");
+    exchange.receive_start();
+    caller.send(&sip_request("CANCEL", &caller, 2, "", "", ""));
+    assert!(exchange.receive().contains("FINISH"), "the call is not given up");
+    let mut other = connect();
+    other.send(&invite);
+    other.expect_message("SIP/2.0 487");
+    let received = exchange.receive_within(SETTLE_TIME);
+    assert!(!received.as_ref().is_some_and(|line| line.contains("START")), "set up again: {received:?}");
+}
