Bound what the decision module remembers of first tries

Cause: the first try of each number is kept until its deadline, without a limit, to know a redial.

Change: a check that finds more than 8,192 left by the last one forgets all.

--- a/src/control.rs
+++ b/src/control.rs
@@ -72,6 +72,8 @@
 /// Set-ups a second that a processor can handle, over the highest answer rate ever observed here: exchanges
 /// receive about as many calls as they originate, and the best second is a third above the sustainable rate.
 const CAPACITY_PEAK_RATIO: f64 = 1.5;
+/// First tries that a check of their expiry may leave. If it leaves more, the next check forgets all.
+const MAX_FIRST_TRIES: usize = 8192;
 /// Weight of one call in the means over originating calls, which average over about a hundred calls.
 const CALL_WEIGHT: f64 = 0.01;
 /// Weight of an early abandonment in `stay_ratio`; an answered call counts as 1 with half this weight.
@@ -664,13 +666,12 @@
 
     /// Remembers when the caller of a refused, failed or abandoned call first tried.
     fn remember_first_try(&mut self, record: &CallRecord) {
-        if record.info.origin == Origin::Transit {
-            return;
-        }
         let until = record.first_try_at + self.settings.classes[record.info.class].deadline;
-        self.first_tries.insert(record.info.dialled, (record.first_try_at, until));
+        if record.info.origin != Origin::Transit {
+            self.first_tries.insert(record.info.dialled, (record.first_try_at, until));
+        }
         if self.first_tries.len() >= self.first_tries_kept * 2 {
-            self.first_tries.retain(|_, (_, until)| *until > self.now);
+            self.first_tries.retain(|_, t| self.first_tries_kept < MAX_FIRST_TRIES && t.1 > self.now);
             self.first_tries_kept = self.first_tries.len().max(64);
         }
     }
