--- a/node/src/net/sip/mod.rs
+++ b/node/src/net/sip/mod.rs
@@ -29,7 +29,7 @@
 use transport::Transport;
 
 /// Maximum datagrams received per iteration of the event loop.
-const MAX_DATAGRAMS_PER_ITERATION: usize = 64;
+const MAX_DATAGRAMS_PER_ITERATION: usize = 16;
 /// Separates the caller's id from the random part of the Call-ID of an exchange's leg.
 const CALLER_ID_SEPARATOR: char = '.';
 /// Memory that a leg takes besides its messages: its state, its dialog and its keys.
--- a/node/src/net/sip/transport.rs
+++ b/node/src/net/sip/transport.rs
@@ -19,7 +19,7 @@
 /// busy stream does not starve the others.
 const MAX_READS_PER_ITERATION: usize = 4;
 /// Maximum number of messages from one stream that are handled in one iteration of the event loop.
-const MAX_MESSAGES_PER_ITERATION: usize = 64;
+const MAX_MESSAGES_PER_ITERATION: usize = 16;
 /// Delay before accepting again after a failed accept, e.g. when no file descriptor is left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
