Have the small message of the memory test written within the time that it has

slow_clients_of_both_fronts_together_... failed once in a run of the whole check: the small client began before the loads of the others were written, which took longer than the 2.7 s that a client has for its message, and was ended as it should be ("client-ended: peer silent" 2.7 s after the start). It begins once the loads are written and pauses for 0.5 s; the checks and bounds are as they were.

--- a/node/tests/memory.rs
+++ b/node/tests/memory.rs
@@ -9,6 +9,8 @@
 const MEMORY_LIMIT_BYTES: usize = 32 * 1024 * 1024;
 /// By then the daemon has read what was sent to it.
 const SETTLE_TIME: Duration = Duration::from_millis(1500);
+/// Pause of the client that writes a small message slowly, well below the time that it has for its message.
+const SMALL_MESSAGE_PAUSE: Duration = Duration::from_millis(500);
 /// So many clients may be connected before idle ones have to make way for others.
 const CLIENT_COUNT: usize = 500;
 /// More SIP streams than may be open at a time.
@@ -96,12 +98,13 @@
 fn slow_clients_of_both_fronts_together_stay_within_the_memory_limit() {
     let mut harness = MemoryHarness::new();
     let (addr, sip_addr) = (harness.client_addr(), harness.daemon.sip_addr("tcp"));
-    let mut small = LinePeer::new(TcpStream::connect(addr).expect("the daemon listens"));
-    small.send_bytes(br#"{"verb":"ECHO","tag":"e","#);
     let part = format!(r#"{{"verb":"START","blob":"{}"#, "x".repeat(LARGE_LINE_BYTES));
     let _clients = write_slowly(addr, CLIENT_COUNT, part.as_bytes(), 1000);
     let head = format!("INVITE sip:2101@127.0.0.1 SIP/2.0\r\n{}", "a:b\r\n".repeat(LARGE_SIP_BYTES / 5));
     let _streams = write_slowly(sip_addr, STREAM_COUNT, head.as_bytes(), 4000);
+    let mut small = LinePeer::new(TcpStream::connect(addr).expect("the daemon listens"));
+    small.send_bytes(br#"{"verb":"ECHO","tag":"e","#);
+    std::thread::sleep(SMALL_MESSAGE_PAUSE);
     small.send(r#""opts":{},"rc":0}"#);
     assert!(small.receive().contains("ECHOED"), "the small message is lost");
     harness.expect_within_limit();
