--- a/node/tests/sip_pressure.rs
+++ b/node/tests/sip_pressure.rs
@@ -240,3 +240,28 @@
     assert!(peak < MEMORY_LIMIT_BYTES, "{} MB at most", peak / 1024 / 1024);
     assert!(harness.daemon.is_running());
 }
+
+/// Guards against BYEs of a standing call that are out of order, each kept in a transaction of its own without a limit.
+#[test]
+fn flood_of_byes_out_of_order_stays_within_the_memory_limit() {
+    const MEMORY_LIMIT_BYTES: usize = 32 * 1024 * 1024;
+    const FLOOD_SIZE: u32 = 40_000;
+    let mut harness = PressureHarness::new("udp");
+    let mut caller = harness.connect_caller();
+    let invite = harness.invite(&mut caller, 1);
+    let answer = harness.answer(&mut caller, &invite);
+    caller.send(&ack(&caller, 1, &answer));
+    // The sequence number of the INVITE again.
+    let bye = sip_request("BYE", &caller, 1, &to_tag(&answer), "", "").replace("CSeq: 2", "CSeq: 1");
+    for n in 0..FLOOD_SIZE {
+        caller.send(&bye.replace("z9hG4bKbye1", &format!("z9hG4bKbye1x{n}")));
+        if n % FLOOD_BATCH == 0 {
+            while caller.receive_within(Duration::from_millis(1)).is_some() {}
+        }
+    }
+    let peak = harness.daemon.peak_memory_bytes();
+    assert!(peak < MEMORY_LIMIT_BYTES, "{} KB at most", peak / 1024);
+    caller.send(&sip_request("BYE", &caller, 1, &to_tag(&answer), "", ""));
+    while !caller.receive_within(WAIT_TIMEOUT).expect("the BYE is answered").starts_with("SIP/2.0 200") {
+    }
+}
