Log and count releases that go to another connection than that of their call

The line release-redirected names the host of the caller and the host that is told; redirected_releases and discarded_releases count. Which connection is taken is unchanged: the selection and the sending are one function now.

--- a/node/src/net/clients.rs
+++ b/node/src/net/clients.rs
@@ -18,6 +18,7 @@
 use mio::net::{TcpListener, TcpStream};
 use mio::Interest;
 use recent_ids::RecentIds;
+pub use releases::ReleaseStats;
 use std::collections::{HashMap, VecDeque};
 use std::io::ErrorKind;
 use std::net::IpAddr;
@@ -137,8 +138,8 @@
     return_writer: Option<HandoverWriter>,
     /// `None` if the previous process hands its calls over, or has ended long ago.
     earlier_calls: Option<EarlierCalls>,
-    /// Number of releases of calls that an earlier process has established.
-    released_earlier_calls: u64,
+    /// Counts of releases, but for those that wait for a connection.
+    release_stats: ReleaseStats,
     /// Ids of calls that have ended recently.
     recent_ids: RecentIds,
     /// Where the ids of calls that end are written for the process that replaces this one.
@@ -170,7 +171,7 @@
             handover: None,
             return_writer: None,
             earlier_calls: Some(EarlierCalls::new(limits.max_own_ids())),
-            released_earlier_calls: 0,
+            release_stats: ReleaseStats::default(),
             recent_ids: RecentIds::new(limits.max_own_ids()),
             shared_ids: None,
             connections_to_end: Vec::new(),
@@ -559,17 +560,15 @@
                 let Some(client_call) = self.remove_call(call, cx) else {
                     return;
                 };
-                let conn = self.select_release_connection(client_call.conn, client_call.peer);
-                if conn.is_some() {
-                    self.write_handover(&Record::Forget { tag: client_call.tag.clone() }, cx);
-                }
                 let release = Release {
-                    tag: client_call.tag,
+                    tag: client_call.tag.clone(),
                     host: client_call.peer,
                     cause,
                     expires_at: cx.now + PENDING_RELEASE_TIMEOUT,
                 };
-                self.send_release(conn, release, cx);
+                if self.send_to_caller(client_call.conn, release, cx) {
+                    self.write_handover(&Record::Forget { tag: client_call.tag }, cx);
+                }
             }
             _ => {}
         }
@@ -663,11 +662,10 @@
             .into_iter()
             .filter(|(at, _)| *at + UNCONFIRMED_RELEASE_TIMEOUT > now)
         {
-            let conn = self.select_release_connection(token, release.host);
             let why =
                 format_args!("call={} why=\"not confirmed when its connection closed\"", release.tag);
             cx.log.line(cx.now, "release-again", why);
-            self.send_release(conn, release, cx);
+            self.send_to_caller(token, release, cx);
         }
         if client.unanswered > 0 {
             let unanswered = self
--- a/node/src/net/clients/earlier_calls.rs
+++ b/node/src/net/clients/earlier_calls.rs
@@ -107,7 +107,7 @@
         if !earlier_calls.add(tag, cause, cx.now) {
             return;
         }
-        self.released_earlier_calls += 1;
+        self.release_stats.earlier += 1;
         cx.log.line(cx.now, "earlier-call-released", format_args!("call={tag}"));
         let hosts: BTreeSet<_> = self.conns.iter().map(|(_, client)| client.peer).collect();
         for host in hosts {
@@ -123,14 +123,9 @@
             return;
         };
         for release in earlier_calls.take_for_host(host, cx.now) {
-            self.send_release(Some(token), release, cx);
+            self.redirect_release(token, release, cx);
         }
     }
-
-    /// Number of releases of calls that an earlier process has established.
-    pub fn released_earlier_call_count(&self) -> u64 {
-        self.released_earlier_calls
-    }
 }
 
 #[cfg(test)]
--- a/node/src/net/clients/handover.rs
+++ b/node/src/net/clients/handover.rs
@@ -20,7 +20,7 @@
             self.hand_over(call, cx);
         }
         for release in std::mem::take(&mut self.pending_releases) {
-            self.send_release(None, release, cx);
+            self.keep_release(release, cx);
         }
         cx.log.line(cx.now, "handover-started", format_args!("{calls} calls, {releases} releases"));
     }
--- a/node/src/net/clients/releases.rs
+++ b/node/src/net/clients/releases.rs
@@ -11,7 +11,28 @@
 use crate::net::Context;
 use std::net::IpAddr;
 
+/// Maximum number of lines about redirected releases in one rate limit interval of the log.
+const MAX_REDIRECTED_LINES: u32 = 200;
+
+/// Counts of the releases towards callers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReleaseStats {
+    /// Releases that wait for a connection now.
+    pub pending: usize,
+    /// Releases that were sent on another connection than the one of their call.
+    pub redirected: u64,
+    /// Releases that were given up before they could be sent.
+    pub discarded: u64,
+    /// Releases of calls that an earlier process has established.
+    pub earlier: u64,
+}
+
 impl Clients {
+    /// Counts of the releases towards callers.
+    pub fn release_stats(&self) -> ReleaseStats {
+        ReleaseStats { pending: self.pending_releases.len(), ..self.release_stats }
+    }
+
     /// Sends the releases that wait for a connection: those for `host`, or all if it is `None`.
     pub(super) fn send_pending_releases(
         &mut self,
@@ -22,7 +43,7 @@
         self.pending_releases.retain(|r| r.expires_at > cx.now);
         for release in std::mem::take(&mut self.pending_releases) {
             if host.is_none_or(|h| h == release.host) {
-                self.send_release(Some(token), release, cx);
+                self.redirect_release(token, release, cx);
             } else {
                 self.pending_releases.push_back(release);
             }
@@ -31,14 +52,38 @@
 
     /// Sends a release that the previous process could not send to its caller.
     pub fn forward_release(&mut self, release: handover::Release, cx: &mut Context) {
-        let conn = self.select_release_connection(Token::NONE, release.host);
         let release = Release {
             tag: release.tag,
             host: release.host,
             cause: release.cause,
             expires_at: cx.now + PENDING_RELEASE_TIMEOUT,
         };
-        self.send_release(conn, release, cx);
+        self.send_to_caller(Token::NONE, release, cx);
+    }
+
+    /// Sends a release on the connection of its call, or on another one if that is closed. Without any, it is kept.
+    /// Returns whether it was sent.
+    pub(super) fn send_to_caller(&mut self, own: Token, release: Release, cx: &mut Context) -> bool {
+        match self.select_release_connection(own, release.host) {
+            Some(token) if token == own => self.send_release(token, release, cx),
+            Some(token) => self.redirect_release(token, release, cx),
+            None => {
+                self.keep_release(release, cx);
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Sends a release on another connection than the one of its call.
+    pub(super) fn redirect_release(&mut self, token: Token, release: Release, cx: &mut Context) {
+        if let Some(client) = self.conns.get(token) {
+            let (tag, host, peer) = (&release.tag, release.host, client.peer);
+            let text = format_args!("call={tag} caller={host} to={peer}");
+            cx.log.line_limited(cx.now, "release-redirected", MAX_REDIRECTED_LINES, text);
+            self.release_stats.redirected += 1;
+        }
+        self.send_release(token, release, cx);
     }
 
     /// Selects the connection for a release: the connection of the call; otherwise one from the same host that is
@@ -73,15 +118,13 @@
             return;
         };
         for (_, release) in std::mem::take(&mut client.unconfirmed_releases) {
-            let conn = self.select_release_connection(Token::NONE, release.host);
-            self.send_release(conn, release, cx);
+            self.send_to_caller(Token::NONE, release, cx);
         }
     }
 
-    /// Sends a release. Without a connection, it is passed on to the process that replaces this one, or queued
-    /// for the next connection.
-    pub(super) fn send_release(&mut self, conn: Option<Token>, release: Release, cx: &mut Context) {
-        let Some((token, client)) = conn.and_then(|t| Some((t, self.conns.get_mut(t)?))) else {
+    /// Sends a release on a connection. If that has closed, the release is kept.
+    fn send_release(&mut self, token: Token, release: Release, cx: &mut Context) {
+        let Some(client) = self.conns.get_mut(token) else {
             return self.keep_release(release, cx);
         };
         let rc = if release.cause == ReleaseCause::Normal { CAUSE_ENDED } else { CAUSE_DROPPED };
@@ -106,6 +149,7 @@
         cx.log.line(cx.now, "release-kept", format_args!("call={} why=\"{why}\"", release.tag));
         if self.pending_releases.len() >= MAX_PENDING_RELEASES {
             if let Some(discarded) = self.pending_releases.pop_front() {
+                self.release_stats.discarded += 1;
                 cx.log.line(cx.now, "release-discarded", format_args!("call={}", discarded.tag));
             }
         }
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -343,9 +343,8 @@
                         let host_stats = HostStats {
                             reloads,
                             journal: journal.stats(),
-                            pending_releases: clients.pending_release_count(),
+                            releases: clients.release_stats(),
                             unmatched_releases: exchanges.unmatched_release_count(),
-                            earlier_releases: clients.released_earlier_call_count(),
                         };
                         let answer = execute_operator_command(command, host_stats, &mut cx);
                         operators.answer(token, &answer, &mut cx);
--- a/node/src/stats.rs
+++ b/node/src/stats.rs
@@ -1,6 +1,7 @@
 //! The statistics for operators, as JSON on one line.
 
 use crate::engine::Stats;
+use crate::net::clients::ReleaseStats;
 use crate::net::journal::JournalStats;
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -22,12 +23,10 @@
     pub reloads: Reloads,
     /// The connections to the journal service.
     pub journal: JournalStats,
-    /// Releases towards callers that wait for a connection.
-    pub pending_releases: usize,
+    /// Releases towards callers.
+    pub releases: ReleaseStats,
     /// Releases from exchanges under an id that no call or attempt has.
     pub unmatched_releases: u64,
-    /// Of these, the releases of calls that an earlier process has established.
-    pub earlier_releases: u64,
 }
 
 /// Formats the statistics; `classes` are the names of the classes in the order of the settings.
@@ -59,9 +58,11 @@
         ("retries", stats.retries),
         ("checks", stats.checks),
         ("adverse_observations", stats.adverse_observations),
-        ("pending_releases", host.pending_releases as u64),
+        ("pending_releases", host.releases.pending as u64),
+        ("redirected_releases", host.releases.redirected),
+        ("discarded_releases", host.releases.discarded),
         ("unmatched_releases", host.unmatched_releases),
-        ("earlier_releases", host.earlier_releases),
+        ("earlier_releases", host.releases.earlier),
     ];
     for (name, count) in totals {
         let _ = write!(out, ",\"{name}\":{count}");
@@ -111,11 +112,10 @@
         let host = HostStats {
             reloads,
             journal: JournalStats { position: 41, dials: 3, unserved: 1 },
-            pending_releases: 7,
+            releases: ReleaseStats { pending: 7, redirected: 4, discarded: 8, earlier: 5 },
             unmatched_releases: 9,
-            earlier_releases: 5,
         };
         let line = json(&stats, host, &classes);
-        insta::assert_snapshot!(line, @r#"{"results":{"voice":{"succeeded":8,"declined":2,"aborted":1},"a \"b\"\n":{"succeeded":8,"declined":2,"aborted":1}},"forwards":14,"outstanding":3,"adopted":6,"discovered":5,"ejected":1,"sighup_applied":2,"sighup_rejected":1,"journal_event":41,"journal_dials":3,"journal_unserved":1,"standing":2,"retries":3,"checks":6,"adverse_observations":2,"pending_releases":7,"unmatched_releases":9,"earlier_releases":5,"releases":{"cut":1,"ended":5},"attempt_ends":{"timed out":4}}"#);
+        insta::assert_snapshot!(line, @r#"{"results":{"voice":{"succeeded":8,"declined":2,"aborted":1},"a \"b\"\n":{"succeeded":8,"declined":2,"aborted":1}},"forwards":14,"outstanding":3,"adopted":6,"discovered":5,"ejected":1,"sighup_applied":2,"sighup_rejected":1,"journal_event":41,"journal_dials":3,"journal_unserved":1,"standing":2,"retries":3,"checks":6,"adverse_observations":2,"pending_releases":7,"redirected_releases":4,"discarded_releases":8,"unmatched_releases":9,"earlier_releases":5,"releases":{"cut":1,"ended":5},"attempt_ends":{"timed out":4}}"#);
     }
 }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -10,8 +10,9 @@
 use slateshed_node::net::lifecycle::Lifecycle;
 use slateshed_node::net::{Context, TimerEvent};
 use slateshed_node::timers::TimerQueue;
+use socket2::{Domain, Socket, Type};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -202,6 +203,16 @@
         LinePeer::new(TcpStream::connect(addr).expect("the daemon listens"))
     }
 
+    /// Connects as a client on a host with a loopback address of its own, once the daemon listens.
+    pub fn connect_client_from(&mut self, host: Ipv4Addr) -> LinePeer {
+        let addr: SocketAddr =
+            self.wait_for_log("n0 started: listening on ").parse().expect("the logged address is valid");
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("the socket is created");
+        socket.bind(&SocketAddr::from((host, 0)).into()).expect("the host's address is bound");
+        socket.connect(&addr.into()).expect("the daemon listens");
+        LinePeer::new(socket.into())
+    }
+
     /// Connects as an operator, once the daemon listens.
     pub fn connect_operator(&mut self) -> LinePeer {
         let addr: SocketAddr = self
@@ -350,6 +361,11 @@
         self.stream
     }
 
+    /// Closes the connection.
+    pub fn close(&mut self) {
+        self.stream.shutdown(Shutdown::Both).expect("the connection is closed");
+    }
+
     /// Sends a line.
     pub fn send(&mut self, line: &str) {
         self.stream.write_all(format!("{line}\n").as_bytes()).expect("the line is written");
