Send the end of a call to its caller's host alone when the call's connection has closed

Cause: select_release_connection took any caller's connection where the caller's host had none. The same selection served releases that are lost with their connection, that were sent to a health check, and that another process hands over.

Evidence: release-redirected with caller=127.0.0.2 to=127.0.0.3. The three tests of release_hosts.rs failed before ("another host is told") and pass now.

--- a/node/src/net/clients/releases.rs
+++ b/node/src/net/clients/releases.rs
@@ -86,29 +86,22 @@
         self.send_release(token, release, cx);
     }
 
-    /// Selects the connection for a release: the connection of the call; otherwise one from the same host that is
-    /// not a health check; otherwise one that has confirmed another release; otherwise one that is a caller. Among equals, the
-    /// most recently active one is selected. Other connections from other hosts are not used, because they
-    /// may belong to anyone. A process that is replaced uses only connections of callers from the same host: all
-    /// others can connect to the new process.
-    pub(super) fn select_release_connection(&self, own: Token, host: IpAddr) -> Option<Token> {
+    /// Selects the connection for a release: the connection of the call, or else one from the host of its caller. A
+    /// process that is replaced uses only connections of callers: all others can connect to the new process.
+    fn select_release_connection(&self, own: Token, host: IpAddr) -> Option<Token> {
         if self.conns.get(own).is_some() {
             return Some(own);
         }
-        let is_handing_over = self.is_handing_over();
-        let is_usable = |c: &Client| match is_handing_over {
-            true => c.is_caller && c.peer == host,
-            false => c.is_caller || c.peer == host && !c.is_health_check(),
-        };
-        let callers = self.conns.iter().filter(|(_, c)| is_usable(c));
-        let rank = |c: &Client| (c.peer == host, c.confirms_releases, c.is_caller, c.last_active_at);
-        callers.max_by_key(|(_, c)| rank(c)).map(|(token, _)| token)
+        let token = self.release_connection_to_host(host)?;
+        let is_caller = self.conns.get(token).is_some_and(|c| c.is_caller);
+        Some(token).filter(|_| is_caller || !self.is_handing_over())
     }
 
-    /// Selects the connection for a release to a host: one that is not a health check, if there is any.
+    /// Selects the connection for a release to a host: one that is not a health check, if there is any. Callers come
+    /// first, of these the ones that have confirmed a release, and among equals the most recently active one.
     pub(super) fn release_connection_to_host(&self, host: IpAddr) -> Option<Token> {
         let of_host = self.conns.iter().filter(|(_, c)| c.peer == host && !c.is_health_check());
-        let rank = |c: &Client| (c.confirms_releases, c.is_caller, c.last_active_at);
+        let rank = |c: &Client| (c.is_caller, c.confirms_releases, c.last_active_at);
         of_host.max_by_key(|(_, c)| rank(c)).map(|(token, _)| token)
     }
 
