Send releases that wait for their caller to no set-up of another host

Callers saw: a release that waited for its caller went to whoever sent the next set-up, on any host, and counted as told.

Cause: send_pending_releases(token, None), called for each set-up, did not look at the host. It takes the host now.

Evidence: release_that_waits_is_not_sent_to_a_set_up_of_another_host fails with the commit before this one and passes now.

--- a/node/src/net/clients.rs
+++ b/node/src/net/clients.rs
@@ -317,7 +317,7 @@
             return;
         }
         cx.timers.schedule(now + MESSAGE_TIMEOUT, TimerEvent::ClientTimeout(token));
-        self.send_pending_releases(token, Some(peer), cx);
+        self.send_pending_releases(token, peer, cx);
         self.send_earlier_releases(token, peer, cx);
     }
 
--- a/node/src/net/clients/releases.rs
+++ b/node/src/net/clients/releases.rs
@@ -33,16 +33,11 @@
         ReleaseStats { pending: self.pending_releases.len(), ..self.release_stats }
     }
 
-    /// Sends the releases that wait for a connection: those for `host`, or all if it is `None`.
-    pub(super) fn send_pending_releases(
-        &mut self,
-        token: Token,
-        host: Option<IpAddr>,
-        cx: &mut Context,
-    ) {
+    /// Sends the releases that wait for a connection from a host.
+    pub(super) fn send_pending_releases(&mut self, token: Token, host: IpAddr, cx: &mut Context) {
         self.pending_releases.retain(|r| r.expires_at > cx.now);
         for release in std::mem::take(&mut self.pending_releases) {
-            if host.is_none_or(|h| h == release.host) {
+            if release.host == host {
                 self.redirect_release(token, release, cx);
             } else {
                 self.pending_releases.push_back(release);
--- a/node/src/net/clients/set_ups.rs
+++ b/node/src/net/clients/set_ups.rs
@@ -66,8 +66,8 @@
             Some(refusal) => self.refuse_set_up(token, &tag, incoming.class, refusal, cx),
             None => self.start_call(token, peer, tag, incoming, cx),
         }
-        // A set-up identifies the client as a caller, so pending releases may be sent to it.
-        self.send_pending_releases(token, None, cx);
+        // A set-up identifies the client as a caller, so pending releases of its host may be sent to it.
+        self.send_pending_releases(token, peer, cx);
         Ok(())
     }
 
--- a/node/tests/release_hosts.rs
+++ b/node/tests/release_hosts.rs
@@ -94,3 +94,17 @@
     assert!(other.receives_nothing_within(SETTLE_TIME), "another host is told");
     harness.expect_release_on_return();
 }
+
+/// Guards against a release that waits for its caller and is sent to the next caller that sends a set-up, on any host.
+#[test]
+fn release_that_waits_is_not_sent_to_a_set_up_of_another_host() {
+    let mut harness = HostsHarness::new();
+    harness.other.close();
+    harness.release_without_caller();
+    let mut other = harness.daemon.connect_client_from(OTHER_HOST);
+    other.send_start("00000000000000bb", 3000, 1);
+    assert_eq!(harness.exchange.receive_start(), "00000000000000bb");
+    answer_call(&mut harness.exchange, &mut other, "00000000000000bb");
+    assert!(other.receives_nothing_within(SETTLE_TIME), "another host is told");
+    harness.expect_release_on_return();
+}
