Send the end of a call again where its connection never read or never got it

Callers saw: a release that was sent on a connection from the caller's host counted as told after 1 s, also if that connection had never brought a message and was then closed as silent, or if the release had not been written to it by then. The caller that connected afterwards was not told.

Cause: a release was forgotten by its age alone.

Evidence: release_sent_on_a_silent_connection_is_sent_again_when_that_ends failed before ("not released") and passes now.

--- a/node/src/net/clients.rs
+++ b/node/src/net/clients.rs
@@ -5,6 +5,7 @@
 mod recent_ids;
 mod releases;
 mod set_ups;
+mod unconfirmed_releases;
 
 use super::conn::Conn;
 use super::handover::{HandoverWriter, Record};
@@ -23,6 +24,7 @@
 use std::io::ErrorKind;
 use std::net::IpAddr;
 use std::time::Duration;
+use unconfirmed_releases::{Progress, UnconfirmedReleases};
 
 /// Cause of a final answer: the call is refused.
 const CAUSE_REFUSED: u32 = 42;
@@ -83,7 +85,7 @@
     buffered_bytes: usize,
     /// Unconfirmed releases sent on this connection, with the times of sending. They may be lost if the
     /// client closes the connection before it reads them.
-    unconfirmed_releases: Vec<(Duration, Release)>,
+    unconfirmed_releases: UnconfirmedReleases,
 }
 
 impl Client {
@@ -92,9 +94,25 @@
         self.answered && !self.is_caller
     }
 
+    /// Whether it has sent a message.
+    fn is_identified(&self) -> bool {
+        self.answered || self.is_caller
+    }
+
+    /// How far its stream has got.
+    fn progress(&self, now: Duration) -> Progress {
+        Progress { now, written: self.conn.bytes_written(), is_identified: self.is_identified() }
+    }
+
     /// Whether a release sent on it may still be in flight.
     fn is_releasing(&self, now: Duration) -> bool {
-        self.unconfirmed_releases.iter().any(|(at, _)| *at + UNCONFIRMED_RELEASE_TIMEOUT > now)
+        self.unconfirmed_releases.is_any_in_flight(now)
+    }
+
+    /// Takes the unconfirmed releases that are lost if the connection ends now.
+    fn take_undelivered_releases(&mut self, now: Duration) -> Vec<Release> {
+        let progress = self.progress(now);
+        self.unconfirmed_releases.take_undelivered(progress)
     }
 }
 
@@ -308,7 +326,7 @@
                 has_left: false,
                 is_unflushed: false,
                 buffered_bytes: 0,
-                unconfirmed_releases: Vec::new(),
+                unconfirmed_releases: UnconfirmedReleases::default(),
             }
         });
         if let Err(e) = registered {
@@ -485,9 +503,7 @@
             }
             "FINISHED" => {
                 if let Some(client) = self.conns.get_mut(token) {
-                    let before = client.unconfirmed_releases.len();
-                    client.unconfirmed_releases.retain(|(_, r)| r.tag != message.tag);
-                    client.confirms_releases |= client.unconfirmed_releases.len() < before;
+                    client.confirms_releases |= client.unconfirmed_releases.confirm(&message.tag);
                 }
                 Ok(())
             }
@@ -656,12 +672,7 @@
         if !matches!(end, EndReason::PeerClosed | EndReason::ClosedLocally) {
             cx.log.line(cx.now, "client-ended", format_args!("{}: {end}", client.peer));
         }
-        let now = cx.now;
-        for (_, release) in client
-            .unconfirmed_releases
-            .into_iter()
-            .filter(|(at, _)| *at + UNCONFIRMED_RELEASE_TIMEOUT > now)
-        {
+        for release in client.take_undelivered_releases(cx.now) {
             let why =
                 format_args!("call={} why=\"not confirmed when its connection closed\"", release.tag);
             cx.log.line(cx.now, "release-again", why);
--- a/node/src/net/clients/releases.rs
+++ b/node/src/net/clients/releases.rs
@@ -3,7 +3,7 @@
 
 use super::{
     encode_message, Client, Clients, Release, CAUSE_DROPPED, CAUSE_ENDED, MAX_PENDING_RELEASES,
-    PENDING_RELEASE_TIMEOUT, UNCONFIRMED_RELEASE_TIMEOUT,
+    PENDING_RELEASE_TIMEOUT,
 };
 use crate::arena::Token;
 use crate::engine::ReleaseCause;
@@ -105,7 +105,8 @@
         let Some(client) = self.conns.get_mut(token).filter(|c| c.is_health_check()) else {
             return;
         };
-        for (_, release) in std::mem::take(&mut client.unconfirmed_releases) {
+        let releases: Vec<_> = client.unconfirmed_releases.take_all().collect();
+        for release in releases {
             self.send_to_caller(Token::NONE, release, cx);
         }
     }
@@ -117,11 +118,21 @@
         };
         let rc = if release.cause == ReleaseCause::Normal { CAUSE_ENDED } else { CAUSE_DROPPED };
         let bytes = encode_message("FINISH", &release.tag, &[], Some(rc), None);
-        client.unconfirmed_releases.retain(|(at, _)| *at + UNCONFIRMED_RELEASE_TIMEOUT > cx.now);
-        client.unconfirmed_releases.push((cx.now, release));
+        let progress = client.progress(cx.now);
+        let end_offset = client.conn.bytes_queued() + bytes.len() as u64;
+        let given_up = client.unconfirmed_releases.push(release, end_offset, progress);
+        if let Some(release) = given_up {
+            self.discard_release(&release.tag, "too many are not confirmed", cx);
+        }
         self.send(token, &bytes);
     }
 
+    /// Counts and logs a release that is given up.
+    pub(super) fn discard_release(&mut self, tag: &str, why: &str, cx: &mut Context) {
+        self.release_stats.discarded += 1;
+        cx.log.line(cx.now, "release-discarded", format_args!("call={tag} why=\"{why}\""));
+    }
+
     /// Passes a release on to the process that replaces this one, or queues it for the next connection.
     pub(super) fn keep_release(&mut self, release: Release, cx: &mut Context) {
         let record = Record::Release(handover::Release {
@@ -137,8 +148,7 @@
         cx.log.line(cx.now, "release-kept", format_args!("call={} why=\"{why}\"", release.tag));
         if self.pending_releases.len() >= MAX_PENDING_RELEASES {
             if let Some(discarded) = self.pending_releases.pop_front() {
-                self.release_stats.discarded += 1;
-                cx.log.line(cx.now, "release-discarded", format_args!("call={}", discarded.tag));
+                self.discard_release(&discarded.tag, "too many wait for their callers", cx);
             }
         }
         self.pending_releases.push_back(release);
--- a/node/src/net/conn.rs
+++ b/node/src/net/conn.rs
@@ -200,8 +200,12 @@
     /// Whether all bytes of the stream up to an offset have been written to the socket. A message that is not
     /// fully written cannot have reached the peer completely.
     pub fn has_written(&self, up_to: u64) -> bool {
-        let unwritten = (self.output.len() - self.written) as u64;
-        up_to <= self.bytes_queued - unwritten
+        up_to <= self.bytes_written()
+    }
+
+    /// Total bytes written to the socket so far.
+    pub fn bytes_written(&self) -> u64 {
+        self.bytes_queued - (self.output.len() - self.written) as u64
     }
 
     /// Writes as much of the send buffer as the socket accepts.
--- a/node/tests/release_hosts.rs
+++ b/node/tests/release_hosts.rs
@@ -4,7 +4,7 @@
 mod common;
 use common::*;
 use std::net::Ipv4Addr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 const TAG: &str = "9b1f03aa5c7e2d41";
 const OTHER_TAG: &str = "00000000000000aa";
@@ -108,3 +108,16 @@
     assert!(other.receives_nothing_within(SETTLE_TIME), "another host is told");
     harness.expect_release_on_return();
 }
+
+/// Guards against a release that counts as told although the connection that it was sent on never sent a message.
+#[test]
+fn release_sent_on_a_silent_connection_is_sent_again_when_that_ends() {
+    let mut harness = HostsHarness::new();
+    harness.caller.close();
+    let mut silent = harness.daemon.connect_client_from(CALLER_HOST);
+    harness.exchange.send(&release(TAG));
+    assert!(silent.receive().contains(TAG));
+    assert_eq!(silent.receive(), "", "the silent connection is not closed");
+    harness.expect_release_on_return();
+    assert!(harness.other.receives_nothing_within(SETTLE_TIME), "another host is told");
+}
