Send waiting releases when a connection turns out to be a caller's

Callers saw: a caller that began with a health check and kept that connection was not told of the ends that waited for it: not when it then ended another call, and not of a call of an earlier process even when it sent a set-up.

Cause: waiting releases went out at the accept and with each set-up; an end did not count, and the releases of calls whose caller is not known were looked at on accept alone. Both go out now when a client is first known to be a caller. A set-up on a caller's connection need not look again, as nothing is kept while one from its host is connected.

Evidence: release_that_waits_is_sent_to_its_caller_when_that_ends_a_call and release_after_a_restart_reaches_a_caller_that_began_with_a_health_check failed before and pass now.

--- a/node/src/net/clients.rs
+++ b/node/src/net/clients.rs
@@ -335,8 +335,7 @@
             return;
         }
         cx.timers.schedule(now + MESSAGE_TIMEOUT, TimerEvent::ClientTimeout(token));
-        self.send_pending_releases(token, peer, cx);
-        self.send_earlier_releases(token, peer, cx);
+        self.send_waiting_releases(token, peer, cx);
     }
 
     /// Handles the message timeout of a client.
@@ -486,8 +485,8 @@
         match message.verb.as_str() {
             "START" => self.handle_set_up(token, message, cx),
             "FINISH" => {
+                self.mark_as_caller(token, cx);
                 if let Some(call) = self.by_tag.get(&message.tag).copied() {
-                    self.mark_as_caller(token);
                     if self.remove_call(call, cx).is_some_and(|c| c.is_established) {
                         self.write_handover(&Record::Forget { tag: message.tag }, cx);
                     }
@@ -512,10 +511,14 @@
         }
     }
 
-    fn mark_as_caller(&mut self, token: Token) {
-        if let Some(client) = self.conns.get_mut(token) {
-            client.is_caller = true;
-        }
+    /// Records that a client is a caller. One that has sent health checks only was not sent the releases of its host.
+    fn mark_as_caller(&mut self, token: Token, cx: &mut Context) {
+        let Some(client) = self.conns.get_mut(token).filter(|c| !c.is_caller) else {
+            return;
+        };
+        client.is_caller = true;
+        let host = client.peer;
+        self.send_waiting_releases(token, host, cx);
     }
 
     /// Removes a call that has ended.
--- a/node/src/net/clients/releases.rs
+++ b/node/src/net/clients/releases.rs
@@ -33,8 +33,15 @@
         ReleaseStats { pending: self.pending_releases.len(), ..self.release_stats }
     }
 
+    /// Sends all releases that wait for a connection from a host: those of its calls, and those of calls whose callers
+    /// are not known.
+    pub(super) fn send_waiting_releases(&mut self, token: Token, host: IpAddr, cx: &mut Context) {
+        self.send_pending_releases(token, host, cx);
+        self.send_earlier_releases(token, host, cx);
+    }
+
     /// Sends the releases that wait for a connection from a host.
-    pub(super) fn send_pending_releases(&mut self, token: Token, host: IpAddr, cx: &mut Context) {
+    fn send_pending_releases(&mut self, token: Token, host: IpAddr, cx: &mut Context) {
         self.pending_releases.retain(|r| r.expires_at > cx.now);
         for release in std::mem::take(&mut self.pending_releases) {
             if release.host == host {
--- a/node/src/net/clients/set_ups.rs
+++ b/node/src/net/clients/set_ups.rs
@@ -52,7 +52,7 @@
         }
         let tag = message.tag.clone();
         self.record_own_id(&tag);
-        self.mark_as_caller(token);
+        self.mark_as_caller(token, cx);
         let incoming = match parse_set_up(message, cx.wire) {
             Ok(incoming) => incoming,
             Err(field) => {
@@ -66,8 +66,6 @@
             Some(refusal) => self.refuse_set_up(token, &tag, incoming.class, refusal, cx),
             None => self.start_call(token, peer, tag, incoming, cx),
         }
-        // A set-up identifies the client as a caller, so pending releases of its host may be sent to it.
-        self.send_pending_releases(token, peer, cx);
         Ok(())
     }
 
--- a/node/tests/release_hosts.rs
+++ b/node/tests/release_hosts.rs
@@ -121,3 +121,20 @@
     harness.expect_release_on_return();
     assert!(harness.other.receives_nothing_within(SETTLE_TIME), "another host is told");
 }
+
+/// Guards against a release that goes on waiting while its caller is connected, as that caller has begun with a health
+/// check and then sends only what ends another call.
+#[test]
+fn release_that_waits_is_sent_to_its_caller_when_that_ends_a_call() {
+    let mut harness = HostsHarness::new();
+    establish_call(&mut harness.exchange, &mut harness.caller, "00000000000000cc");
+    harness.other.close();
+    harness.caller.close();
+    let mut caller = harness.daemon.connect_client_from(CALLER_HOST);
+    assert!(caller.is_ready());
+    harness.exchange.send(&release(TAG));
+    harness.daemon.wait_for_log("call-released");
+    caller.send(&release("00000000000000cc"));
+    let line = caller.receive_within(MAX_RELEASE_FORWARD_DELAY);
+    assert!(line.as_ref().is_some_and(|l| l.contains(TAG)), "not released: {line:?}");
+}
--- a/node/tests/restart.rs
+++ b/node/tests/restart.rs
@@ -140,6 +140,20 @@
     expect_release(&mut caller, TAG, Instant::now() + MAX_RELEASE_FORWARD_DELAY);
 }
 
+/// Guards against the release of a call of an earlier process that goes on waiting while its caller is connected, as that
+/// caller has begun with a health check.
+#[test]
+fn release_after_a_restart_reaches_a_caller_that_began_with_a_health_check() {
+    let harness = RestartHarness::new();
+    let (mut daemon, mut exchange) = harness.restart_without_caller();
+    let mut caller = daemon.connect_client();
+    assert!(caller.is_ready());
+    exchange.send(RELEASE);
+    daemon.wait_for_log("earlier-call-released");
+    caller.send_start(OTHER_TAG, 3000, 1);
+    expect_release(&mut caller, TAG, Instant::now() + MAX_RELEASE_FORWARD_DELAY);
+}
+
 /// Guards against calls of a process that was killed whose ends are never told.
 #[test]
 fn release_after_a_crash_reaches_the_caller() {
