Let the new process judge releases under unknown ids while a process is replaced

Callers saw: while a process was being replaced, the old one took the release of a call of the new process, which had come on its connection to the exchange, for that of a call of an earlier process: it told each host connected to it, and not the caller. And releases of earlier calls that still waited for hosts to connect ended with the process that held them.

Cause: an unknown id was judged by one process alone, and before SIGTERM nothing was passed on. From the time a successor serves, the old process passes such releases on, with whether it knows that no call of its own has the id. The new process matches them with its calls, and only then takes them for earlier ones. Those that wait are handed over with the hosts that have been told. Both concern the same records, so they are one change.

Evidence: release_of_a_call_of_the_new_process_is_not_told_to_hosts_of_the_old_one and release_of_an_earlier_call_is_handed_over_to_the_new_process failed before and pass now.

--- a/node/src/net/clients/earlier_calls.rs
+++ b/node/src/net/clients/earlier_calls.rs
@@ -5,6 +5,7 @@
 use super::{Clients, Release, PENDING_RELEASE_TIMEOUT};
 use crate::arena::Token;
 use crate::engine::ReleaseCause;
+use crate::net::handover::{self, Record};
 use crate::net::Context;
 use std::collections::{BTreeSet, HashSet, VecDeque};
 use std::net::IpAddr;
@@ -20,6 +21,8 @@
     /// The ids of all set-ups that this process has received. An exchange repeats the releases of these calls, too.
     own_ids: HashSet<u64>,
     max_own_ids: usize,
+    /// Whether the previous process hands its calls over, so that only it can tell that a call is of an earlier one.
+    is_predecessor_known: bool,
     releases: VecDeque<EarlierRelease>,
 }
 
@@ -41,7 +44,12 @@
 impl EarlierCalls {
     /// Creates the state of a process that has received no set-up yet.
     pub(super) fn new(max_own_ids: usize) -> Self {
-        EarlierCalls { own_ids: HashSet::new(), max_own_ids, releases: VecDeque::new() }
+        EarlierCalls {
+            own_ids: HashSet::new(),
+            max_own_ids,
+            is_predecessor_known: false,
+            releases: VecDeque::new(),
+        }
     }
 
     /// Whether this process has received so many set-ups that their ids are no longer recorded.
@@ -49,8 +57,19 @@
         self.own_ids.len() >= self.max_own_ids
     }
 
+    /// Whether this process has received a set-up, or the release of an earlier call, under an id.
+    fn has_id(&self, tag: &str) -> bool {
+        id_number(tag).is_none_or(|id| self.own_ids.contains(&id))
+    }
+
     /// Adds a release, unless the call is one of this process or its release was received before.
-    fn add(&mut self, tag: &str, cause: ReleaseCause, now: Duration) -> bool {
+    fn add(
+        &mut self,
+        tag: &str,
+        cause: ReleaseCause,
+        informed_hosts: BTreeSet<IpAddr>,
+        now: Duration,
+    ) -> bool {
         let is_new = id_number(tag).is_some_and(|id| self.own_ids.insert(id));
         if !is_new {
             return false;
@@ -63,7 +82,7 @@
             tag: tag.to_owned(),
             cause,
             expires_at: now + PENDING_RELEASE_TIMEOUT,
-            informed_hosts: BTreeSet::new(),
+            informed_hosts,
         });
         true
     }
@@ -98,13 +117,40 @@
         }
     }
 
+    /// Records that the previous process hands its calls over.
+    pub(super) fn expect_calls_of_predecessor(&mut self) {
+        if let Some(earlier_calls) = self.earlier_calls.as_mut() {
+            earlier_calls.is_predecessor_known = true;
+        }
+    }
+
+    /// Whether an id that no call has can only be that of a call of an earlier process.
+    pub(super) fn is_earlier_call(&self, tag: &str) -> bool {
+        let earlier_calls = self.earlier_calls.as_ref().filter(|calls| !calls.is_predecessor_known);
+        earlier_calls.is_some_and(|calls| !calls.has_id(tag))
+    }
+
     /// Handles a release under an id that no call has: if an earlier process has established the call, its caller is
     /// told.
     pub fn release_earlier_call(&mut self, tag: &str, cause: ReleaseCause, cx: &mut Context) {
+        if self.is_earlier_call(tag) {
+            self.add_earlier_release(tag, cause, BTreeSet::new(), cx);
+        }
+    }
+
+    /// Sends the release of a call of an earlier process to the hosts that callers connect from, and have not been
+    /// informed yet.
+    pub fn add_earlier_release(
+        &mut self,
+        tag: &str,
+        cause: ReleaseCause,
+        informed_hosts: BTreeSet<IpAddr>,
+        cx: &mut Context,
+    ) {
         let Some(earlier_calls) = self.earlier_calls.as_mut() else {
             return;
         };
-        if !earlier_calls.add(tag, cause, cx.now) {
+        if !earlier_calls.add(tag, cause, informed_hosts, cx.now) {
             return;
         }
         self.release_stats.earlier += 1;
@@ -117,6 +163,21 @@
         }
     }
 
+    /// Hands the releases over that callers who connect later are to be sent.
+    pub(super) fn hand_over_earlier_releases(&mut self, cx: &mut Context) {
+        let Some(earlier_calls) = self.earlier_calls.as_mut() else {
+            return;
+        };
+        for release in std::mem::take(&mut earlier_calls.releases) {
+            let record = Record::EarlierRelease(handover::EarlierRelease {
+                tag: release.tag,
+                cause: release.cause,
+                informed_hosts: release.informed_hosts,
+            });
+            self.write_handover(&record, cx);
+        }
+    }
+
     /// Sends the releases of earlier calls on a connection, if they were not sent to its host before.
     pub(super) fn send_earlier_releases(&mut self, token: Token, host: IpAddr, cx: &mut Context) {
         let Some(earlier_calls) = self.earlier_calls.as_mut() else {
@@ -138,9 +199,12 @@
         let (now, hosts) =
             (Duration::from_secs(1), [IpAddr::from([127, 0, 0, 2]), [127, 0, 0, 3].into()]);
         let mut calls = EarlierCalls::new(8);
-        assert!(calls.add("9b1f03aa5c7e2d41", ReleaseCause::Normal, now));
-        assert!(!calls.add("9b1f03aa5c7e2d41", ReleaseCause::Normal, now), "a repeated release");
-        assert!(!calls.add("not an id", ReleaseCause::Normal, now));
+        assert!(calls.add("9b1f03aa5c7e2d41", ReleaseCause::Normal, BTreeSet::new(), now));
+        assert!(
+            !calls.add("9b1f03aa5c7e2d41", ReleaseCause::Normal, BTreeSet::new(), now),
+            "a repeated release"
+        );
+        assert!(!calls.add("not an id", ReleaseCause::Normal, BTreeSet::new(), now));
         assert_eq!(calls.take_for_host(hosts[0], now).len(), 1);
         assert_eq!(calls.take_for_host(hosts[0], now).len(), 0);
         assert_eq!(calls.take_for_host(hosts[1], now + PENDING_RELEASE_TIMEOUT).len(), 0);
--- a/node/src/net/clients/handover.rs
+++ b/node/src/net/clients/handover.rs
@@ -22,13 +22,14 @@
         for release in std::mem::take(&mut self.pending_releases) {
             self.keep_release(release, cx);
         }
+        self.hand_over_earlier_releases(cx);
         cx.log.line(cx.now, "handover-started", format_args!("{calls} calls, {releases} releases"));
     }
 
     /// Starts to return releases without a connection to the process that this one replaces.
     pub fn begin_return(&mut self, writer: HandoverWriter) {
         self.return_writer = Some(writer);
-        self.earlier_calls = None;
+        self.expect_calls_of_predecessor();
     }
 
     /// Returns a release to the process that this one replaces, if that has not ended.
@@ -40,15 +41,21 @@
 
     /// Passes a release that matches no call here on to the other process, while one replaces the other. Otherwise the
     /// call may be one of an earlier process.
-    pub fn pass_on_unmatched(&mut self, release: UnmatchedRelease, cx: &mut Context) {
-        let record = Record::UnmatchedRelease(release);
-        self.write_handover(&record, cx);
+    pub fn pass_on_unmatched(&mut self, mut release: UnmatchedRelease, cx: &mut Context) {
+        release.is_earlier_call = self.is_earlier_call(&release.tag);
+        let record = Record::UnmatchedRelease(release.clone());
         self.return_release(&record, cx);
-        if let Record::UnmatchedRelease(release) = &record {
+        // The call may be one of the process that replaces this one, which then knows its caller.
+        if !self.write_to_successor(&record, cx) {
             self.release_earlier_call(&release.tag, release.cause, cx);
         }
     }
 
+    /// Writes a record for the process that replaces this one, also before this one stops. Returns whether it was written.
+    fn write_to_successor(&mut self, record: &Record, cx: &mut Context) -> bool {
+        self.write_handover(record, cx) || self.handover.is_none() && self.share(record, cx)
+    }
+
     /// The process that this one replaces has ended.
     pub fn end_return(&mut self) {
         if let Some(writer) = self.return_writer.take() {
--- a/node/src/net/clients/recent_ids.rs
+++ b/node/src/net/clients/recent_ids.rs
@@ -69,10 +69,15 @@
         }
     }
 
-    fn share(&mut self, record: &Record, cx: &mut Context) {
-        if let Some(Err(e)) = self.shared_ids.as_mut().map(|writer| writer.write(record)) {
+    /// Writes a record for the process that replaces this one. Returns whether it was written.
+    pub(super) fn share(&mut self, record: &Record, cx: &mut Context) -> bool {
+        let Some(written) = self.shared_ids.as_mut().map(|writer| writer.write(record)) else {
+            return false;
+        };
+        if let Err(e) = &written {
             cx.log.line(cx.now, "handover-failed", e);
         }
+        written.is_ok()
     }
 
     /// Records the id of a call that has ended in the process that this one replaces.
--- a/node/src/net/exchanges/mod.rs
+++ b/node/src/net/exchanges/mod.rs
@@ -617,7 +617,8 @@
                     format_args!("call={} exchange={name}", message.tag),
                 );
                 if let Some(cause) = established_release_cause(message.rc) {
-                    let release = UnmatchedRelease { tag: message.tag, exchange: name, cause };
+                    let (tag, exchange) = (message.tag, name);
+                    let release = UnmatchedRelease { tag, exchange, cause, is_earlier_call: false };
                     self.unmatched_releases.push(release);
                 }
             }
--- a/node/src/net/handover.rs
+++ b/node/src/net/handover.rs
@@ -7,12 +7,12 @@
 
 mod records;
 
-pub use records::{EstablishedCall, Record, Release, UnmatchedRelease};
+pub use records::{EarlierRelease, EstablishedCall, Record, Release, UnmatchedRelease};
 
 use super::clients::Clients;
 use super::exchanges::Exchanges;
 use super::{Context, TimerEvent};
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 use std::fmt;
 use std::fs::{File, OpenOptions};
 use std::io::{self, ErrorKind, Read, Write};
@@ -211,7 +211,16 @@
                 None if self.adopted.contains(&release.tag) => {}
                 None => clients.forward_release(release, cx),
             },
-            Record::UnmatchedRelease(release) => apply_unmatched_release(&release, clients, cx),
+            Record::UnmatchedRelease(release) => {
+                let is_known = apply_unmatched_release(&release, clients, cx);
+                if release.is_earlier_call && !is_known {
+                    clients.add_earlier_release(&release.tag, release.cause, BTreeSet::new(), cx);
+                }
+            }
+            Record::EarlierRelease(release) => {
+                let EarlierRelease { tag, cause, informed_hosts } = release;
+                clients.add_earlier_release(&tag, cause, informed_hosts, cx);
+            }
             Record::RecentId { tag, until } => clients.add_recent_id(tag, until, cx.now),
             Record::Forget { tag } => {
                 self.adopted.remove(&tag);
@@ -224,14 +233,16 @@
     }
 }
 
-/// Applies a release that an exchange has sent to the other process, if the call is established here.
-fn apply_unmatched_release(release: &UnmatchedRelease, clients: &Clients, cx: &mut Context) {
+/// Applies a release that an exchange has sent to the other process, if the call is established here. Returns whether a
+/// call has its id.
+fn apply_unmatched_release(release: &UnmatchedRelease, clients: &Clients, cx: &mut Context) -> bool {
     let Some(call) = clients.call_by_tag(&release.tag) else {
-        return;
+        return false;
     };
     if cx.engine.establishment(cx.now, call).is_some_and(|e| e.exchange == release.exchange) {
         cx.engine.released_elsewhere(cx.now, call, release.cause, cx.timers);
     }
+    true
 }
 
 /// Applies a record of the process that replaces this one: a release whose caller is not connected there, but
@@ -239,8 +250,14 @@
 fn apply_from_successor(record: Record, clients: &mut Clients, cx: &mut Context) {
     let release = match record {
         Record::Release(release) => release,
-        Record::UnmatchedRelease(release) => return apply_unmatched_release(&release, clients, cx),
-        Record::Call(_) | Record::RecentId { .. } | Record::Forget { .. } => return,
+        Record::UnmatchedRelease(release) => {
+            apply_unmatched_release(&release, clients, cx);
+            return;
+        }
+        Record::Call(_)
+        | Record::EarlierRelease(_)
+        | Record::RecentId { .. }
+        | Record::Forget { .. } => return,
     };
     if !clients.is_caller_connected(release.host) {
         return clients.return_release(&Record::Release(release), cx);
--- a/node/src/net/handover/records.rs
+++ b/node/src/net/handover/records.rs
@@ -3,7 +3,7 @@
 use crate::engine::ReleaseCause;
 use crate::net::lines::decode_json;
 use slateshed_settings as read;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::IpAddr;
 use std::time::Duration;
 use tinyjson::JsonValue;
@@ -17,6 +17,8 @@
     Release(Release),
     /// An exchange has released a call that the writing process does not know.
     UnmatchedRelease(UnmatchedRelease),
+    /// The release of a call of an earlier process, which callers that connect later are to be sent.
+    EarlierRelease(EarlierRelease),
     /// A call has ended. Its id is not set up again until this time.
     RecentId {
         /// The caller's id of the call.
@@ -66,6 +68,19 @@
     pub exchange: String,
     /// Why the call was released.
     pub cause: ReleaseCause,
+    /// Whether the writing process is sure that an earlier one has set the call up, unless the reading one has.
+    pub is_earlier_call: bool,
+}
+
+/// The release of a call whose caller is not known, as neither process has set it up.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EarlierRelease {
+    /// The caller's id of the call.
+    pub tag: String,
+    /// Why the call was released.
+    pub cause: ReleaseCause,
+    /// The hosts that it was sent to.
+    pub informed_hosts: BTreeSet<IpAddr>,
 }
 
 fn parse_cause(root: &JsonValue) -> Result<ReleaseCause, String> {
@@ -108,7 +123,17 @@
                 ("tag", text(&release.tag)),
                 ("exchange", text(&release.exchange)),
                 ("cause", text(cause_name(release.cause))),
+                ("earlier", JsonValue::Boolean(release.is_earlier_call)),
             ],
+            Record::EarlierRelease(release) => {
+                let hosts = release.informed_hosts.iter().map(|host| text(&host.to_string()));
+                vec![
+                    ("type", text("earlier_release")),
+                    ("tag", text(&release.tag)),
+                    ("cause", text(cause_name(release.cause))),
+                    ("informed_hosts", JsonValue::Array(hosts.collect())),
+                ]
+            }
             Record::RecentId { tag, until } => {
                 vec![("type", text("recent_id")), ("tag", text(tag)), ("until_ms", millis(*until))]
             }
@@ -144,7 +169,18 @@
             "unmatched_release" => {
                 let exchange = read::text(&root, "exchange")?.to_owned();
                 let cause = parse_cause(&root)?;
-                Ok(Record::UnmatchedRelease(UnmatchedRelease { tag: tag()?, exchange, cause }))
+                // Earlier versions do not write the field.
+                let earlier = read::lookup(&root, "earlier").and_then(|v| v.get::<bool>());
+                let is_earlier_call = earlier.copied().unwrap_or(false);
+                let release = UnmatchedRelease { tag: tag()?, exchange, cause, is_earlier_call };
+                Ok(Record::UnmatchedRelease(release))
+            }
+            "earlier_release" => {
+                let cause = parse_cause(&root)?;
+                let hosts = read::list(&root, "informed_hosts")?.iter();
+                let hosts = hosts.map(|v| v.get::<String>().and_then(|host| host.parse().ok()));
+                let informed_hosts = hosts.collect::<Option<_>>().ok_or("informed_hosts")?;
+                Ok(Record::EarlierRelease(EarlierRelease { tag: tag()?, cause, informed_hosts }))
             }
             "recent_id" => {
                 let until = read::millis(&root, "until_ms")?;
@@ -179,6 +215,12 @@
                 tag: tag.clone(),
                 exchange: "s-one".to_owned(),
                 cause: ReleaseCause::Normal,
+                is_earlier_call: true,
+            }),
+            Record::EarlierRelease(EarlierRelease {
+                tag: tag.clone(),
+                cause: ReleaseCause::Dropped,
+                informed_hosts: BTreeSet::from([host]),
             }),
             Record::RecentId { tag: tag.clone(), until: time(1_796_000_000_789) },
             Record::Forget { tag },
--- a/node/tests/handover.rs
+++ b/node/tests/handover.rs
@@ -4,11 +4,15 @@
 mod common;
 use common::*;
 use slateshed_trials::exchange::{Behavior, FaultyExchange};
-use std::net::TcpListener;
+use std::net::{Ipv4Addr, TcpListener};
 use std::time::{Duration, Instant};
 
 const TAG: &str = "9b1f03aa5c7e2d41";
 const OTHER_TAG: &str = "00000000000000aa";
+const CALLER_HOST: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
+const OTHER_HOST: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 3);
+/// By then a release that is sent at once would have arrived.
+const SETTLE_TIME: Duration = Duration::from_millis(300);
 /// A release is forwarded to its caller within this time.
 const MAX_RELEASE_FORWARD_DELAY: Duration = Duration::from_millis(1050);
 
@@ -19,8 +23,8 @@
     exchange_listener: TcpListener,
     /// The connection of the old process to the exchange.
     old_exchange_connection: LinePeer,
-    /// The connection of the new process to the exchange, which stays open.
-    _new_exchange_connection: LinePeer,
+    /// The connection of the new process to the exchange.
+    new_exchange_connection: LinePeer,
     _journal: StubJournal,
 }
 
@@ -46,7 +50,7 @@
             new_daemon,
             exchange_listener,
             old_exchange_connection,
-            _new_exchange_connection: new_exchange_connection,
+            new_exchange_connection,
             _journal: journal,
         }
     }
@@ -213,3 +217,51 @@
     expect_release(&mut client, TAG, Instant::now());
     assert!(daemon.exits_successfully());
 }
+
+/// Guards against a release that the process which is about to be replaced receives for a call of the new one, and sends
+/// to every host that is connected to it, as if an earlier process had set the call up.
+#[test]
+fn release_of_a_call_of_the_new_process_is_not_told_to_hosts_of_the_old_one() {
+    let mut other = None;
+    let mut replacement = Replacement::start(|daemon, exchange| {
+        let mut client = daemon.connect_client_from(OTHER_HOST);
+        establish_call(exchange, &mut client, OTHER_TAG);
+        other = Some(client);
+    });
+    let mut other = other.expect("the call is established");
+    std::thread::sleep(SETTLE_TIME);
+    // Both processes accept connections until the old one stops.
+    let mut caller = replacement.old_daemon.while_paused(|| {
+        let mut caller = replacement.new_daemon.connect_client_from(CALLER_HOST);
+        establish_call(&mut replacement.new_exchange_connection, &mut caller, TAG);
+        caller
+    });
+    // The exchange may send a release on any of its connections if that of the set-up has closed.
+    let released_at = Instant::now();
+    replacement.old_exchange_connection.send(&release(TAG));
+    expect_release(&mut caller, TAG, released_at);
+    assert!(other.receives_nothing_within(SETTLE_TIME), "another host is told");
+}
+
+/// Guards against the release of a call of a process that was killed which ends with the next process, as its caller has
+/// not connected to that one.
+#[test]
+fn release_of_an_earlier_call_is_handed_over_to_the_new_process() {
+    let mut other = None;
+    let mut replacement = Replacement::start(|daemon, exchange| {
+        let mut client = daemon.connect_client_from(OTHER_HOST);
+        establish_call(exchange, &mut client, OTHER_TAG);
+        exchange.send(&release(TAG));
+        expect_release(&mut client, TAG, Instant::now());
+        client.send(&format!(r#"{{"verb":"FINISHED","tag":"{TAG}","opts":{{}}}}"#));
+        other = Some(client);
+    });
+    replacement.stop_old_daemon();
+    drop(other);
+    assert!(replacement.old_daemon.exits_successfully());
+    replacement.new_daemon.wait_for_log("handover-complete");
+    let mut other = replacement.new_daemon.connect_client_from(OTHER_HOST);
+    assert!(other.receives_nothing_within(SETTLE_TIME), "the host is told again");
+    let mut caller = replacement.new_daemon.connect_client_from(CALLER_HOST);
+    expect_release(&mut caller, TAG, Instant::now());
+}
