Name the caller's host in the Call-ID, and tell a call's end after a restart to that host

Callers saw: the end of a call of the lines' front at a SIP exchange, which an earlier process had set up, was told to every host that callers connect from.

Cause: the Call-ID named the caller's id alone. It names the caller's host as well now, as digits, and a BYE for a dialog that is not known here is told to that host. Call-IDs of earlier versions are still read; they go to every host.

Evidence: bye_after_a_restart_is_told_to_no_other_host failed before ("another host is told") and passes now.

--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -20,6 +20,7 @@
 use crate::timers::{TimerKey, TimerQueue};
 use slateshed::*;
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -51,6 +52,9 @@
     pub dialled_text: String,
     /// The caller's session description.
     pub description: String,
+    /// The host of a caller on the lines' front, whose connection a release need not be sent on; `None` on the SIP
+    /// front, where the dialog says where the caller is.
+    pub caller_host: Option<IpAddr>,
 }
 
 impl CallInfo {
@@ -61,6 +65,7 @@
             class: String::new(),
             dialled_text: String::new(),
             description: String::new(),
+            caller_host: None,
         }
     }
 }
--- a/node/src/net/clients/earlier_calls.rs
+++ b/node/src/net/clients/earlier_calls.rs
@@ -6,6 +6,7 @@
 use crate::arena::Token;
 use crate::engine::ReleaseCause;
 use crate::net::handover::{self, Record};
+use crate::net::sip::LineCaller;
 use crate::net::Context;
 use std::collections::{BTreeSet, HashSet, VecDeque};
 use std::net::IpAddr;
@@ -138,6 +139,26 @@
         }
     }
 
+    /// Handles the end of a call that an earlier process has established, and whose caller is known.
+    pub fn release_earlier_call_of(
+        &mut self,
+        caller: LineCaller,
+        cause: ReleaseCause,
+        cx: &mut Context,
+    ) {
+        let Some(host) = caller.host else {
+            return self.release_earlier_call(&caller.id, cause, cx);
+        };
+        if !self.is_earlier_call(&caller.id) {
+            return;
+        }
+        self.record_own_id(&caller.id);
+        self.release_stats.earlier += 1;
+        let text = format_args!("call={} caller={host}", caller.id);
+        cx.log.line(cx.now, "earlier-call-released", text);
+        self.forward_release(handover::Release { tag: caller.id, host, cause }, cx);
+    }
+
     /// Sends the release of a call of an earlier process to the hosts that callers connect from, and have not been
     /// informed yet.
     pub fn add_earlier_release(
--- a/node/src/net/clients/set_ups.rs
+++ b/node/src/net/clients/set_ups.rs
@@ -53,7 +53,7 @@
         let tag = message.tag.clone();
         self.record_own_id(&tag);
         self.mark_as_caller(token, cx);
-        let incoming = match parse_set_up(message, cx.wire) {
+        let incoming = match parse_set_up(message, peer, cx.wire) {
             Ok(incoming) => incoming,
             Err(field) => {
                 // The set-up has a valid id, so the call is answered as failed and the connection is kept.
@@ -145,7 +145,11 @@
 /// Parses a set-up; the error names the invalid field. Fields forwarded unchanged must be valid for the
 /// exchange, because it closes its connection on any invalid message. A number in `extras` that is out of range
 /// is not clamped: it counts as absent.
-fn parse_set_up(message: Message, wire: &WireConfig) -> Result<IncomingCall, &'static str> {
+fn parse_set_up(
+    message: Message,
+    peer: IpAddr,
+    wire: &WireConfig,
+) -> Result<IncomingCall, &'static str> {
     let class = wire.classes.iter().position(|c| c == message.opt("class")).ok_or("class")?;
     let left: f64 = message.opt("left").parse().map_err(|_| "left")?;
     let patience = slateshed_settings::duration(left).ok_or("left")?;
@@ -178,6 +182,7 @@
             dialled_text: key.to_owned(),
             description: message.blob.ok_or("blob")?,
             id: message.tag,
+            caller_host: Some(peer),
         }),
     })
 }
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -442,8 +442,8 @@
             for release in exchanges.take_unmatched_releases() {
                 clients.pass_on_unmatched(release, &mut cx);
             }
-            for tag in sip.iter_mut().flat_map(Sip::take_ended_earlier_calls) {
-                clients.release_earlier_call(&tag, ReleaseCause::Normal, &mut cx);
+            for caller in sip.iter_mut().flat_map(Sip::take_ended_earlier_calls) {
+                clients.release_earlier_call_of(caller, ReleaseCause::Normal, &mut cx);
             }
             clients.end_connections(&mut cx);
             exchanges.end_connections(&mut cx);
--- a/node/src/net/sip/commands.rs
+++ b/node/src/net/sip/commands.rs
@@ -2,7 +2,7 @@
 
 use super::dialog::Dialog;
 use super::message;
-use super::{Leg, LegState, Party, Sip, SipTimer, ALLOW, CALLER_ID_SEPARATOR, LEG_OVERHEAD_BYTES};
+use super::{Leg, LegState, LineCaller, Party, Sip, SipTimer, ALLOW, LEG_OVERHEAD_BYTES};
 use crate::arena::Token;
 use crate::end::EndReason;
 use crate::engine::{AttemptToken, CallInfo, Command};
@@ -68,13 +68,8 @@
         self.process_output(cx);
     }
 
-    /// Whether the call of an attempt was received on the lines' front.
-    fn is_call_of_other_front(&self, attempt: AttemptToken, cx: &Context) -> bool {
-        cx.engine.attempt_call(attempt).is_some_and(|call| !self.has_call(call))
-    }
-
-    /// Sends the INVITE of a new attempt to its exchange. The Call-ID of a call from the lines' front contains the
-    /// caller's id, so that a later process can tell whose call a BYE ends.
+    /// Sends the INVITE of a new attempt to its exchange. The Call-ID of a call from the lines' front names the
+    /// caller and its host, so that a later process can tell whose call a BYE ends.
     pub(super) fn send_invite(
         &mut self,
         attempt: AttemptToken,
@@ -89,13 +84,12 @@
         let (via, branch) = self.new_via(next_hop.protocol);
         let (local_tag, call_id, local_address) =
             (self.random_id(), self.random_id(), self.local_address(next_hop.protocol));
+        let caller = info.caller_host.map(|host| LineCaller { id: info.id.clone(), host: Some(host) });
+        let call_id = caller.map_or(call_id.clone(), |caller| caller.call_id(&call_id));
         let contact = self.local_contact(next_hop.protocol);
         let uri = format!("sip:{}@{}", info.dialled_text, next_hop.addr);
         let dialog = Dialog {
-            call_id: match self.is_call_of_other_front(attempt, cx) {
-                true => format!("{}{CALLER_ID_SEPARATOR}{call_id}@{local_address}", info.id),
-                false => format!("{call_id}@{local_address}"),
-            },
+            call_id: format!("{call_id}@{local_address}"),
             local_party: format!("<sip:{local_address}>;tag={local_tag}"),
             local_tag: local_tag.clone(),
             remote_tag: String::new(),
--- a/node/src/net/sip/incoming.rs
+++ b/node/src/net/sip/incoming.rs
@@ -1,14 +1,14 @@
 //! Received SIP messages: requests of callers and exchanges, and responses of exchanges.
 
+use super::caller_id::LineCaller;
 use super::dialog::Dialog;
 use super::message::{self, Message};
 use super::transaction::{Admission, ReceiveResult, Target};
-use super::{Leg, LegState, Party, Sip, CALLER_ID_SEPARATOR, LEG_OVERHEAD_BYTES};
+use super::{Leg, LegState, Party, Sip, LEG_OVERHEAD_BYTES};
 use crate::arena::Token;
 use crate::config::{SipConfig, SipNumber};
 use crate::end::EndReason;
 use crate::engine::{CallInfo, IncomingCall};
-use crate::net::lines::is_16_hex_digits;
 use crate::net::Context;
 use ezk_sip_types::header::typed::{Expires, RetryAfter};
 use ezk_sip_types::{Headers, Method, Name};
@@ -99,7 +99,7 @@
     pub(super) fn record_ended_earlier_call(&mut self, bye: &Message, source: Target) {
         let exchanges = self.config.exchanges.values();
         if exchanges.into_iter().any(|exchange| exchange.addr.ip() == source.addr.ip()) {
-            self.ended_earlier_calls.extend(caller_id(&bye.call_id));
+            self.ended_earlier_calls.extend(LineCaller::parse(&bye.call_id));
         }
     }
 
@@ -205,6 +205,7 @@
                 class: plan_entry.class.clone(),
                 dialled_text: called_number,
                 description: description.to_owned(),
+                caller_host: None,
             }),
         };
         let dialog = Dialog::for_uas(invite, &local_tag, source);
@@ -407,12 +408,6 @@
     }
 }
 
-/// The caller's id in a Call-ID, if it is that of an exchange's leg of a call from the lines' front.
-fn caller_id(call_id: &str) -> Option<String> {
-    let (id, _) = call_id.split_once(CALLER_ID_SEPARATOR)?;
-    is_16_hex_digits(id).then(|| id.to_owned())
-}
-
 impl Leg {
     /// Whether a request within the dialog is in order. The first one of an exchange may have any sequence number.
     fn expects(&self, request: &Message) -> bool {
--- a/node/src/net/sip/mod.rs
+++ b/node/src/net/sip/mod.rs
@@ -2,6 +2,7 @@
 //! INVITEs (as UAC). The engine in between also serves the platform's JSON lines: a call may have a SIP leg towards
 //! its caller, one towards its exchange, or both.
 
+mod caller_id;
 mod checks;
 mod commands;
 pub mod dialog;
@@ -16,6 +17,7 @@
 use crate::config::{Limits, SipConfig};
 use crate::end::EndReason;
 use crate::engine::{AttemptToken, CallToken};
+pub use caller_id::LineCaller;
 use dialog::Dialog;
 use ezk_sip_types::Headers;
 use message::Malformed;
@@ -30,8 +32,6 @@
 
 /// Maximum datagrams received per iteration of the event loop.
 const MAX_DATAGRAMS_PER_ITERATION: usize = 16;
-/// Separates the caller's id from the random part of the Call-ID of an exchange's leg.
-const CALLER_ID_SEPARATOR: char = '.';
 /// Memory that a leg takes besides its messages: its state, its dialog and its keys.
 const LEG_OVERHEAD_BYTES: usize = 2048;
 /// Value of the Allow header field: the supported methods.
@@ -134,7 +134,7 @@
     /// Actions that the transactions have asked for and that are not carried out yet.
     pending_output: Vec<Output>,
     /// See [`Sip::take_ended_earlier_calls`].
-    ended_earlier_calls: Vec<String>,
+    ended_earlier_calls: Vec<LineCaller>,
     /// More datagrams than one iteration of the event loop receives may be waiting.
     may_have_datagrams: bool,
     /// To tags of responses without a transaction.
@@ -215,8 +215,8 @@
         self.transport.is_flushed() && !self.transactions.has_pending_requests()
     }
 
-    /// Takes the ids of callers whose calls were ended by a BYE of an exchange, and set up by an earlier process.
-    pub fn take_ended_earlier_calls(&mut self) -> Vec<String> {
+    /// Takes the callers on the lines' front whose calls were ended by a BYE of an exchange, and set up by an earlier process.
+    pub fn take_ended_earlier_calls(&mut self) -> Vec<LineCaller> {
         std::mem::take(&mut self.ended_earlier_calls)
     }
 
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -65,7 +65,7 @@
     let owned = |text: &str| text.to_owned();
     let (id, class, dialled_text, description) = (owned("id"), owned("voice"), owned("7"), owned("v=0"));
     IncomingCall {
-        info: Rc::new(CallInfo { id, class, dialled_text, description }),
+        info: Rc::new(CallInfo { id, class, dialled_text, description, caller_host: None }),
         class: 0,
         dialled: DialledNumber(7),
         patience,
--- a/node/tests/restart.rs
+++ b/node/tests/restart.rs
@@ -3,11 +3,13 @@
 
 mod common;
 use common::*;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
 
 const TAG: &str = "9b1f03aa5c7e2d41";
 const OTHER_TAG: &str = "00000000000000aa";
+const CALLER_HOST: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
+const OTHER_HOST: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 3);
 const RELEASE: &str = r#"{"verb":"FINISH","tag":"9b1f03aa5c7e2d41","opts":{},"rc":16}"#;
 /// The platform does not kill the process earlier than this after SIGTERM, as the longest deadline is 9 s.
 const MIN_KILL_DELAY: Duration = Duration::from_millis(3700);
@@ -200,13 +202,15 @@
     (daemon, exchange, sip_exchange)
 }
 
-/// Guards against calls of the lines' front at a SIP exchange whose callers are not connected at a planned restart: the
-/// next process is told of the end and tells them.
-#[test]
-fn bye_after_a_restart_reaches_the_caller_that_has_returned() {
-    let journal = StubJournal::new();
-    let (mut daemon, _exchange, mut sip_exchange) = start_with_both_fronts(&journal);
-    let mut caller = daemon.connect_client();
+/// Establishes a call of a caller on a host at a SIP exchange, restarts the process without the caller, and has the
+/// exchange end the call. `prepare` is called with the new process before that.
+fn restart_and_end_sip_call<T>(
+    journal: &StubJournal,
+    host: Ipv4Addr,
+    prepare: impl FnOnce(&mut Daemon) -> T,
+) -> (Daemon, T) {
+    let (mut daemon, _exchange, mut sip_exchange) = start_with_both_fronts(journal);
+    let mut caller = daemon.connect_client_from(host);
     caller.send_start(TAG, 3000, 2);
     let invite = sip_exchange.expect_message("INVITE");
     let sip_addr = sip_exchange.local_addr();
@@ -221,7 +225,8 @@
         None,
         "the call is ended without its caller"
     );
-    let (mut daemon, _exchange, _) = start_with_both_fronts(&journal);
+    let (mut daemon, _exchange, _) = start_with_both_fronts(journal);
+    let prepared = prepare(&mut daemon);
     let mut sender = SipPeer::udp(daemon.sip_addr("udp"));
     let bye = format!(
         "BYE sip:slateshed SIP/2.0\r\nVia: SIP/2.0/UDP {};branch=z9hG4bKb1\r\nMax-Forwards: 70\r\n\
@@ -233,10 +238,30 @@
     );
     sender.send(&bye);
     sender.expect_message("SIP/2.0 481");
+    (daemon, prepared)
+}
+
+/// Guards against calls of the lines' front at a SIP exchange whose callers are not connected at a planned restart: the
+/// next process is told of the end and tells them.
+#[test]
+fn bye_after_a_restart_reaches_the_caller_that_has_returned() {
+    let journal = StubJournal::new();
+    let (mut daemon, ()) = restart_and_end_sip_call(&journal, Ipv4Addr::LOCALHOST, |_| ());
     let mut caller = daemon.connect_client();
     expect_release(&mut caller, TAG, Instant::now() + MAX_RELEASE_FORWARD_DELAY);
 }
 
+/// Guards against the end of such a call that other hosts are told, although the Call-ID can name the caller's host.
+#[test]
+fn bye_after_a_restart_is_told_to_no_other_host() {
+    let journal = StubJournal::new();
+    let connect_other = |daemon: &mut Daemon| daemon.connect_client_from(OTHER_HOST);
+    let (mut daemon, mut other) = restart_and_end_sip_call(&journal, CALLER_HOST, connect_other);
+    assert!(other.receives_nothing_within(SETTLE_TIME), "another host is told");
+    let mut caller = daemon.connect_client_from(CALLER_HOST);
+    expect_release(&mut caller, TAG, Instant::now() + MAX_RELEASE_FORWARD_DELAY);
+}
+
 /// Guards against calls with a leg on each front whose other leg is never released at a planned restart.
 #[test]
 fn planned_restart_releases_both_legs_of_calls_between_the_fronts() {
