Limit, count and log what is kept of releases, for each host and with its time

Cause: releases that expired, or were crowded out among those of earlier calls, vanished without a line or a count, and one host's releases could push out those of all others. Since waiting releases go to their host alone, a set-up would also have looked at each of them.

Evidence: unit tests of both tables; they are on interfaces that are new, so they were not run on the code before. The test that a release is sent to each host once names the new constant, with the same check.

--- a/node/src/net/clients.rs
+++ b/node/src/net/clients.rs
@@ -2,6 +2,7 @@
 
 mod earlier_calls;
 mod handover;
+mod pending_releases;
 mod recent_ids;
 mod releases;
 mod set_ups;
@@ -18,9 +19,10 @@
 use earlier_calls::EarlierCalls;
 use mio::net::{TcpListener, TcpStream};
 use mio::Interest;
+use pending_releases::PendingReleases;
 use recent_ids::RecentIds;
 pub use releases::ReleaseStats;
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::IpAddr;
 use std::time::Duration;
@@ -148,7 +150,7 @@
     unanswered_calls: usize,
     by_tag: HashMap<String, CallToken>,
     /// Releases that wait for a connection.
-    pending_releases: VecDeque<Release>,
+    pending_releases: PendingReleases,
     /// The handover to the process that replaces this one. Releases without a connection are written there.
     handover: Option<HandoverWriter>,
     /// The file in which releases are returned to the process that this one replaces. Their callers may still be
@@ -185,7 +187,7 @@
             calls: HashMap::new(),
             unanswered_calls: 0,
             by_tag: HashMap::new(),
-            pending_releases: VecDeque::new(),
+            pending_releases: PendingReleases::new(MAX_PENDING_RELEASES),
             handover: None,
             return_writer: None,
             earlier_calls: Some(EarlierCalls::new(limits.max_own_ids())),
@@ -627,6 +629,7 @@
 
     /// Ends the connections that failed during a send, and closes idle ones while draining or after a takeover.
     pub fn end_connections(&mut self, cx: &mut Context) {
+        self.discard_expired_releases(cx);
         self.flush();
         for (token, end) in std::mem::take(&mut self.connections_to_end) {
             self.end(token, end, cx);
--- a/node/src/net/clients/earlier_calls.rs
+++ b/node/src/net/clients/earlier_calls.rs
@@ -2,7 +2,7 @@
 //! handing them over, so only the exchange knows them: it sends a release under an id that was never seen here. The
 //! caller is unknown as well, so the release is sent once to each host that callers connect from.
 
-use super::{Clients, Release, PENDING_RELEASE_TIMEOUT};
+use super::{Clients, Release};
 use crate::arena::Token;
 use crate::engine::ReleaseCause;
 use crate::net::handover::{self, Record};
@@ -14,6 +14,9 @@
 
 /// Maximum number of releases that are kept for callers that connect later.
 const MAX_KEPT_RELEASES: usize = 1024;
+/// Time for which a release is sent to the hosts of callers that connect. It is shorter than for a known caller, since
+/// each further host is sent an id that is most likely not its own.
+const EARLIER_RELEASE_TIMEOUT: Duration = Duration::from_secs(8);
 /// Maximum number of hosts that one release is sent to.
 const MAX_HOSTS: usize = 64;
 
@@ -63,7 +66,8 @@
         id_number(tag).is_none_or(|id| self.own_ids.contains(&id))
     }
 
-    /// Adds a release, unless the call is one of this process or its release was received before.
+    /// Adds a release, unless the call is one of this process or its release was received before. Returns whether it was
+    /// added.
     fn add(
         &mut self,
         tag: &str,
@@ -75,14 +79,10 @@
         if !is_new {
             return false;
         }
-        self.releases.retain(|r| r.expires_at > now);
-        if self.releases.len() >= MAX_KEPT_RELEASES {
-            self.releases.pop_front();
-        }
         self.releases.push_back(EarlierRelease {
             tag: tag.to_owned(),
             cause,
-            expires_at: now + PENDING_RELEASE_TIMEOUT,
+            expires_at: now + EARLIER_RELEASE_TIMEOUT,
             informed_hosts,
         });
         true
@@ -90,9 +90,8 @@
 
     /// Returns the releases that were not sent to a host yet, and records that they are sent now.
     fn take_for_host(&mut self, host: IpAddr, now: Duration) -> Vec<Release> {
-        self.releases.retain(|r| r.expires_at > now);
         let mut releases = Vec::new();
-        for release in &mut self.releases {
+        for release in self.releases.iter_mut().filter(|r| r.expires_at > now) {
             if release.informed_hosts.len() < MAX_HOSTS && release.informed_hosts.insert(host) {
                 releases.push(Release {
                     tag: release.tag.clone(),
@@ -104,6 +103,20 @@
         }
         releases
     }
+
+    /// Removes the next release that is over, and returns its id and, if a caller may not have been told, why it was given
+    /// up.
+    fn pop_finished(&mut self, now: Duration) -> Option<(String, Option<&'static str>)> {
+        let is_full = self.releases.len() > MAX_KEPT_RELEASES;
+        let first = self.releases.front().filter(|r| is_full || r.expires_at <= now)?;
+        let why = match (is_full, first.informed_hosts.len()) {
+            (true, _) => Some("too many calls of unknown callers"),
+            (false, 0) => Some("no caller has connected"),
+            (false, MAX_HOSTS..) => Some("too many hosts"),
+            _ => None,
+        };
+        self.releases.pop_front().map(|release| (release.tag, why))
+    }
 }
 
 impl Clients {
@@ -184,6 +197,17 @@
         }
     }
 
+    /// Gives up the releases of earlier calls whose time is over.
+    pub(super) fn discard_finished_earlier_releases(&mut self, cx: &mut Context) {
+        let now = cx.now;
+        let pop = |clients: &mut Self| clients.earlier_calls.as_mut()?.pop_finished(now);
+        while let Some((tag, why)) = pop(self) {
+            if let Some(why) = why {
+                self.discard_release(&tag, why, cx);
+            }
+        }
+    }
+
     /// Hands the releases over that callers who connect later are to be sent.
     pub(super) fn hand_over_earlier_releases(&mut self, cx: &mut Context) {
         let Some(earlier_calls) = self.earlier_calls.as_mut() else {
@@ -228,6 +252,29 @@
         assert!(!calls.add("not an id", ReleaseCause::Normal, BTreeSet::new(), now));
         assert_eq!(calls.take_for_host(hosts[0], now).len(), 1);
         assert_eq!(calls.take_for_host(hosts[0], now).len(), 0);
-        assert_eq!(calls.take_for_host(hosts[1], now + PENDING_RELEASE_TIMEOUT).len(), 0);
+        assert_eq!(calls.take_for_host(hosts[1], now + EARLIER_RELEASE_TIMEOUT).len(), 0);
+    }
+
+    /// Guards against a release that is given up without a reason in the log, or kept beyond its time or the limit.
+    #[test]
+    fn release_is_given_up_at_its_time_or_beyond_the_limit() {
+        let (now, host) = (Duration::from_secs(1), IpAddr::from([127, 0, 0, 2]));
+        let mut calls = EarlierCalls::new(MAX_KEPT_RELEASES + 8);
+        let add = |calls: &mut EarlierCalls, n: usize| {
+            assert!(calls.add(&format!("{n:016x}"), ReleaseCause::Normal, BTreeSet::new(), now));
+        };
+        (0..MAX_KEPT_RELEASES).for_each(|n| add(&mut calls, n));
+        assert_eq!(calls.pop_finished(now), None);
+        add(&mut calls, MAX_KEPT_RELEASES);
+        let given_up = calls.pop_finished(now).and_then(|(tag, why)| why.map(|_| tag));
+        assert_eq!(given_up, Some(format!("{:016x}", 0)));
+        assert_eq!(calls.pop_finished(now), None);
+        calls.releases.truncate(1);
+        assert_eq!(calls.take_for_host(host, now).len(), 1);
+        let later = now + EARLIER_RELEASE_TIMEOUT;
+        assert_eq!(calls.pop_finished(later), Some((format!("{:016x}", 1), None)), "a host was told");
+        add(&mut calls, MAX_KEPT_RELEASES + 1);
+        let not_told = calls.pop_finished(later).and_then(|(_, why)| why);
+        assert_eq!(not_told, Some("no caller has connected"));
     }
 }
--- a/node/src/net/clients/handover.rs
+++ b/node/src/net/clients/handover.rs
@@ -19,7 +19,7 @@
         for call in established {
             self.hand_over(call, cx);
         }
-        for release in std::mem::take(&mut self.pending_releases) {
+        for release in self.pending_releases.take_all() {
             self.keep_release(release, cx);
         }
         self.hand_over_earlier_releases(cx);
--- a/node/src/net/clients/releases.rs
+++ b/node/src/net/clients/releases.rs
@@ -2,8 +2,7 @@
 //! a connection.
 
 use super::{
-    encode_message, Client, Clients, Release, CAUSE_DROPPED, CAUSE_ENDED, MAX_PENDING_RELEASES,
-    PENDING_RELEASE_TIMEOUT,
+    encode_message, Client, Clients, Release, CAUSE_DROPPED, CAUSE_ENDED, PENDING_RELEASE_TIMEOUT,
 };
 use crate::arena::Token;
 use crate::engine::ReleaseCause;
@@ -42,16 +41,20 @@
 
     /// Sends the releases that wait for a connection from a host.
     fn send_pending_releases(&mut self, token: Token, host: IpAddr, cx: &mut Context) {
-        self.pending_releases.retain(|r| r.expires_at > cx.now);
-        for release in std::mem::take(&mut self.pending_releases) {
-            if release.host == host {
-                self.redirect_release(token, release, cx);
-            } else {
-                self.pending_releases.push_back(release);
-            }
+        self.discard_expired_releases(cx);
+        for release in self.pending_releases.take_for_host(host) {
+            self.redirect_release(token, release, cx);
         }
     }
 
+    /// Gives up the releases whose callers have not connected in time.
+    pub(super) fn discard_expired_releases(&mut self, cx: &mut Context) {
+        while let Some(release) = self.pending_releases.pop_expired(cx.now) {
+            self.discard_release(&release.tag, "its caller has not connected", cx);
+        }
+        self.discard_finished_earlier_releases(cx);
+    }
+
     /// Sends a release that the previous process could not send to its caller.
     pub fn forward_release(&mut self, release: handover::Release, cx: &mut Context) {
         let release = Release {
@@ -153,11 +156,8 @@
         self.return_release(&record, cx);
         let why = "no connection of its caller";
         cx.log.line(cx.now, "release-kept", format_args!("call={} why=\"{why}\"", release.tag));
-        if self.pending_releases.len() >= MAX_PENDING_RELEASES {
-            if let Some(discarded) = self.pending_releases.pop_front() {
-                self.discard_release(&discarded.tag, "too many wait for their callers", cx);
-            }
+        if let Some(given_up) = self.pending_releases.push(release) {
+            self.discard_release(&given_up.tag, "too many wait for their callers", cx);
         }
-        self.pending_releases.push_back(release);
     }
 }
