Tell nobody the end of a call that its caller has ended after a crash

Callers saw: after a crash a caller ended its call at the new process, which did not know it; when the exchange released the call later, every host that callers connect from was told, the caller included.

Cause: only ids of set-ups told an earlier call's release from others. The ids that callers end count as well now.

Evidence: release_of_a_call_that_its_caller_has_ended_after_a_crash_is_told_to_nobody failed before ("another host is told") and passes now.

--- a/node/src/net/clients.rs
+++ b/node/src/net/clients.rs
@@ -493,6 +493,9 @@
                         self.write_handover(&Record::Forget { tag: message.tag }, cx);
                     }
                     cx.engine.caller_ended(cx.now, call, cx.timers);
+                } else {
+                    // If an earlier process has set the call up, nobody needs to be told when its exchange releases it.
+                    self.record_own_id(&message.tag);
                 }
                 Ok(())
             }
--- a/node/src/net/clients/earlier_calls.rs
+++ b/node/src/net/clients/earlier_calls.rs
@@ -22,7 +22,7 @@
 
 /// Tells the calls of an earlier process from those of this one, and keeps their releases.
 pub(super) struct EarlierCalls {
-    /// The ids of all set-ups that this process has received. An exchange repeats the releases of these calls, too.
+    /// The ids of all set-ups that this process has received, and of calls that their callers have ended. An exchange repeats the releases of these calls, too.
     own_ids: HashSet<u64>,
     max_own_ids: usize,
     /// Whether the previous process hands its calls over, so that only it can tell that a call is of an earlier one.
@@ -120,7 +120,7 @@
 }
 
 impl Clients {
-    /// Records the id of a set-up. Once there are too many of them, the calls of an earlier process cannot be told
+    /// Records the id of a set-up, or of a call that its caller has ended. Once there are too many of them, the calls of an earlier process cannot be told
     /// from those of this one; they have ended long before.
     pub(super) fn record_own_id(&mut self, tag: &str) {
         if let Some((earlier_calls, id)) = self.earlier_calls.as_mut().zip(id_number(tag)) {
--- a/node/tests/restart.rs
+++ b/node/tests/restart.rs
@@ -170,6 +170,26 @@
     expect_release(&mut caller, TAG, Instant::now() + MAX_RELEASE_FORWARD_DELAY);
 }
 
+/// Guards against the end of a call that other hosts are told, although its caller has ended it itself at the new process,
+/// which did not know the call.
+#[test]
+fn release_of_a_call_that_its_caller_has_ended_after_a_crash_is_told_to_nobody() {
+    let harness = RestartHarness::new();
+    let (mut daemon, mut exchange) = harness.start();
+    let mut caller = daemon.connect_client_from(CALLER_HOST);
+    establish_call(&mut exchange, &mut caller, TAG);
+    daemon.kill();
+    let (mut daemon, mut exchange) = harness.start();
+    let mut other = daemon.connect_client_from(OTHER_HOST);
+    let mut caller = daemon.connect_client_from(CALLER_HOST);
+    caller.send(RELEASE);
+    assert!(caller.is_ready());
+    exchange.send(RELEASE);
+    daemon.wait_for_log("release-unmatched");
+    assert!(other.receives_nothing_within(SETTLE_TIME), "another host is told");
+    assert!(caller.receives_nothing_within(SETTLE_TIME), "the caller is told of its own release");
+}
+
 /// Guards against a release that its caller is sent again because the exchange repeats it, or because it refuses a
 /// set-up that was cancelled.
 #[test]
