Pass releases between two processes from the time both serve, not from SIGTERM on

Callers saw: between the start of a new process and SIGTERM for the old one, the end of a call came to the process to which its caller was not connected, and was told seconds late, or when the caller happened to come to the right one.

Cause: both processes accept callers and exchanges from the start of the new one, but what the new one returned was read at SIGTERM and passed over up to then, and what waited in the old one was handed over at SIGTERM. A release that comes twice this way is sent once by the new process.

Evidence: the three tests release_..._reaches_a_caller_... of handover.rs failed before (no line within the time limit) and pass now. Not covered: a caller that has no connection when its call is released, and comes back to the other process before SIGTERM, is told after SIGTERM or on its next connection.

--- a/node/src/net/clients.rs
+++ b/node/src/net/clients.rs
@@ -162,8 +162,8 @@
     release_stats: ReleaseStats,
     /// Ids of calls that have ended recently.
     recent_ids: RecentIds,
-    /// Where the ids of calls that end are written for the process that replaces this one.
-    shared_ids: Option<HandoverWriter>,
+    /// Where records are written for the process that replaces this one before this one stops.
+    shared_records: Option<HandoverWriter>,
     /// Connections that [`Clients::end_connections`] ends.
     connections_to_end: Vec<(Token, EndReason)>,
     /// Connections with unread data left over from the last iteration.
@@ -193,7 +193,7 @@
             earlier_calls: Some(EarlierCalls::new(limits.max_own_ids())),
             release_stats: ReleaseStats::default(),
             recent_ids: RecentIds::new(limits.max_own_ids()),
-            shared_ids: None,
+            shared_records: None,
             connections_to_end: Vec::new(),
             unread: Vec::new(),
             unflushed: Vec::new(),
--- a/node/src/net/clients/pending_releases.rs
+++ b/node/src/net/clients/pending_releases.rs
@@ -59,6 +59,11 @@
         keys.iter().filter_map(|key| self.releases.remove(key)).collect()
     }
 
+    /// All releases.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Release> {
+        self.releases.values()
+    }
+
     /// Takes all releases.
     pub(super) fn take_all(&mut self) -> Vec<Release> {
         self.by_host.clear();
--- a/node/src/net/clients/recent_ids.rs
+++ b/node/src/net/clients/recent_ids.rs
@@ -1,7 +1,7 @@
 //! Ids of calls that have ended recently. A caller gives each set-up a new id, so one that comes again is the same call:
 //! it may only be set up again once its last attempt can no longer occupy circuits.
 
-use super::Clients;
+use super::{Clients, Release};
 use crate::net::handover::{HandoverWriter, Record};
 use crate::net::Context;
 use std::collections::{HashMap, VecDeque};
@@ -60,18 +60,20 @@
         self.share(&record, cx);
     }
 
-    /// Starts to share the ids of calls that end with the process that replaces this one.
-    pub fn begin_sharing_ids(&mut self, writer: HandoverWriter, cx: &mut Context) {
-        self.shared_ids = Some(writer);
+    /// Starts to share the ids of calls that end, and the releases that wait, with the process that replaces this one.
+    pub fn begin_sharing(&mut self, writer: HandoverWriter, cx: &mut Context) {
+        self.shared_records = Some(writer);
         let recent: Vec<_> = self.recent_ids.order.iter().cloned().collect();
         for (until, tag) in recent {
             self.share(&Record::RecentId { tag, until }, cx);
         }
+        let releases: Vec<_> = self.pending_releases.iter().map(Release::record).collect();
+        releases.iter().for_each(|record| drop(self.share(record, cx)));
     }
 
     /// Writes a record for the process that replaces this one. Returns whether it was written.
     pub(super) fn share(&mut self, record: &Record, cx: &mut Context) -> bool {
-        let Some(written) = self.shared_ids.as_mut().map(|writer| writer.write(record)) else {
+        let Some(written) = self.shared_records.as_mut().map(|writer| writer.write(record)) else {
             return false;
         };
         if let Err(e) = &written {
--- a/node/src/net/clients/releases.rs
+++ b/node/src/net/clients/releases.rs
@@ -26,6 +26,13 @@
     pub earlier: u64,
 }
 
+impl Release {
+    /// The record that passes the release on to another process.
+    pub(super) fn record(&self) -> Record {
+        Record::Release(handover::Release { tag: self.tag.clone(), host: self.host, cause: self.cause })
+    }
+}
+
 impl Clients {
     /// Counts of the releases towards callers.
     pub fn release_stats(&self) -> ReleaseStats {
@@ -145,14 +152,12 @@
 
     /// Passes a release on to the process that replaces this one, or queues it for the next connection.
     pub(super) fn keep_release(&mut self, release: Release, cx: &mut Context) {
-        let record = Record::Release(handover::Release {
-            tag: release.tag.clone(),
-            host: release.host,
-            cause: release.cause,
-        });
+        let record = release.record();
         if self.write_handover(&record, cx) {
             return;
         }
+        // The caller may be connected to the other process, if one replaces the other.
+        self.share(&record, cx);
         self.return_release(&record, cx);
         let why = "no connection of its caller";
         cx.log.line(cx.now, "release-kept", format_args!("call={} why=\"{why}\"", release.tag));
--- a/node/src/net/handover.rs
+++ b/node/src/net/handover.rs
@@ -116,6 +116,9 @@
     from_successor: Option<HandoverReader>,
     /// Ids of the calls that were adopted, including those that have been released since.
     adopted: HashSet<String>,
+    /// Ids of the releases that were received: a process passes those that wait on when it is replaced, and again when it
+    /// stops.
+    forwarded: HashSet<String>,
     is_poll_scheduled: bool,
 }
 
@@ -126,12 +129,13 @@
         self.schedule_poll(cx);
     }
 
-    /// Starts to read the records of the process that replaces this one. Those that it has written before the
-    /// handover concern none of the calls that are handed over.
-    pub fn follow_successor(&mut self, mut reader: HandoverReader, cx: &mut Context) {
-        reader.poll(cx);
-        self.from_successor = Some(reader);
-        self.schedule_poll(cx);
+    /// Starts to read the records of the process that replaces this one, unless they are read already. They begin when
+    /// that process starts to serve, as callers and exchanges are connected to both from then on.
+    pub fn follow_successor(&mut self, reader: Option<HandoverReader>, cx: &mut Context) {
+        if self.from_successor.is_none() {
+            self.from_successor = reader;
+            self.schedule_poll(cx);
+        }
     }
 
     /// Whether all calls of the process that this one replaces have been received.
@@ -209,6 +213,7 @@
                 Some(call) => cx.engine.released_elsewhere(cx.now, call, release.cause, cx.timers),
                 // An adopted call that is no longer known has been released here already.
                 None if self.adopted.contains(&release.tag) => {}
+                None if !self.forwarded.insert(release.tag.clone()) => {}
                 None => clients.forward_release(release, cx),
             },
             Record::UnmatchedRelease(release) => {
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -319,10 +319,8 @@
                             cx.engine.begin_shutdown(answer_deadline, cx.timers);
                             if cx.lifecycle.yields_listener() {
                                 clients.close_listener(&mut cx);
-                                if let Some(reader) = pid_file.as_ref().and_then(PidFile::return_reader)
-                                {
-                                    handover.follow_successor(reader, &mut cx);
-                                }
+                                let reader = pid_file.as_ref().and_then(PidFile::return_reader);
+                                handover.follow_successor(reader, &mut cx);
                                 match pid_file.as_ref().map(PidFile::handover_writer) {
                                     Some(Ok(writer)) => clients.begin_handover(writer, &mut cx),
                                     Some(Err(e)) => cx.log.line(now, "handover-failed", e),
@@ -372,7 +370,11 @@
                 TimerEvent::SuccessorPoll => {
                     let pid_file = pid_file.as_ref().filter(|pid_file| pid_file.is_taken_over());
                     match pid_file.map(PidFile::handover_writer) {
-                        Some(Ok(writer)) => clients.begin_sharing_ids(writer, &mut cx),
+                        Some(Ok(writer)) => {
+                            clients.begin_sharing(writer, &mut cx);
+                            handover
+                                .follow_successor(pid_file.and_then(PidFile::return_reader), &mut cx);
+                        }
                         Some(Err(e)) => cx.log.line(now, "handover-failed", e),
                         None => {
                             cx.timers.schedule(now + SUCCESSOR_POLL_INTERVAL, TimerEvent::SuccessorPoll)
--- a/node/tests/handover.rs
+++ b/node/tests/handover.rs
@@ -265,3 +265,62 @@
     let mut caller = replacement.new_daemon.connect_client_from(CALLER_HOST);
     expect_release(&mut caller, TAG, Instant::now());
 }
+
+/// Guards against a release that the new process receives for a call of the old one, and that the old one is told of only
+/// when it stops.
+#[test]
+fn release_to_the_new_process_reaches_a_caller_of_the_old_one_that_still_serves() {
+    let mut caller = None;
+    let mut replacement = Replacement::start(|daemon, exchange| {
+        let mut client = daemon.connect_client();
+        establish_call(exchange, &mut client, TAG);
+        caller = Some(client);
+    });
+    let mut caller = caller.expect("the call is established");
+    std::thread::sleep(SETTLE_TIME);
+    let released_at = Instant::now();
+    replacement.new_exchange_connection.send(&release(TAG));
+    expect_release(&mut caller, TAG, released_at);
+}
+
+/// Guards against a release that waits in the new process while its caller is connected to the old one, which still
+/// serves.
+#[test]
+fn release_of_a_call_of_the_new_process_reaches_a_caller_connected_to_the_old_one() {
+    let mut replacement = Replacement::start(|_, _| ());
+    let mut caller = replacement.old_daemon.while_paused(|| {
+        let mut caller = replacement.new_daemon.connect_client_from(CALLER_HOST);
+        establish_call(&mut replacement.new_exchange_connection, &mut caller, TAG);
+        caller
+    });
+    caller.close();
+    std::thread::sleep(SETTLE_TIME);
+    let mut caller = replacement.new_daemon.while_paused(|| {
+        let mut caller = replacement.old_daemon.connect_client_from(CALLER_HOST);
+        establish_call(&mut replacement.old_exchange_connection, &mut caller, OTHER_TAG);
+        caller
+    });
+    let released_at = Instant::now();
+    replacement.new_exchange_connection.send(&release(TAG));
+    expect_release(&mut caller, TAG, released_at);
+}
+
+/// Guards against a release that waits in the old process, which still serves, while its caller is connected to the new
+/// one.
+#[test]
+fn release_of_a_call_of_the_old_process_reaches_a_caller_connected_to_the_new_one() {
+    let mut replacement = Replacement::start(|daemon, exchange| {
+        let mut client = daemon.connect_client_from(CALLER_HOST);
+        establish_call(exchange, &mut client, TAG);
+        client.close();
+    });
+    std::thread::sleep(SETTLE_TIME);
+    let mut caller = replacement.old_daemon.while_paused(|| {
+        let mut caller = replacement.new_daemon.connect_client_from(CALLER_HOST);
+        establish_call(&mut replacement.new_exchange_connection, &mut caller, OTHER_TAG);
+        caller
+    });
+    let released_at = Instant::now();
+    replacement.old_exchange_connection.send(&release(TAG));
+    expect_release(&mut caller, TAG, released_at);
+}
