Try callers on several hosts that leave and return while processes are replaced

New rule, for all scenarios: no host gets a message of a call that is not its own; and what a caller is told counts on its own host alone.

--- a/node/src/net/clients/recent_ids.rs
+++ b/node/src/net/clients/recent_ids.rs
@@ -68,7 +68,9 @@
             self.share(&Record::RecentId { tag, until }, cx);
         }
         let releases: Vec<_> = self.pending_releases.iter().map(Release::record).collect();
-        releases.iter().for_each(|record| drop(self.share(record, cx)));
+        for record in releases {
+            self.share(&record, cx);
+        }
     }
 
     /// Writes a record for the process that replaces this one. Returns whether it was written.
--- a/node/tests/soak.rs
+++ b/node/tests/soak.rs
@@ -13,6 +13,9 @@
 /// Together these seeds lose releases before, during and without a drain.
 const LOST_RELEASE_SEEDS: RangeInclusive<u64> = 1..=12;
 
+/// Together these seeds have callers on two to four hosts, and one and two replacements.
+const HOSTS_SEEDS: RangeInclusive<u64> = 1..=8;
+
 /// Runs the trials of a scenario side by side, and checks that no rule is broken.
 fn run_trials(scenario: Scenario, seeds: RangeInclusive<u64>) -> Vec<Outcome> {
     let program = Path::new(env!("CARGO_BIN_EXE_slateshed"));
@@ -61,3 +64,12 @@
     let without_release: usize = outcomes.iter().map(|o| o.counts.without_release).sum();
     assert!(without_release > 50, "the trials cover too few calls: {without_release} without a release");
 }
+
+/// Guards against releases that another host is told, or that a caller is told late or never, while callers leave and
+/// return and the process is replaced.
+#[test]
+fn rules_hold_while_callers_leave_and_the_process_is_replaced() {
+    let outcomes = run_trials(Scenario::Hosts, HOSTS_SEEDS);
+    let ends_reported: usize = outcomes.iter().map(|o| o.counts.ends_reported).sum();
+    assert!(ends_reported > 500, "the trials cover too few calls: {ends_reported} ends reported");
+}
--- a/trials/src/caller.rs
+++ b/trials/src/caller.rs
@@ -2,8 +2,9 @@
 //! releases of its calls.
 
 use slateshed_node::net::lines::Message;
+use socket2::{Domain, Socket, Type};
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -36,7 +37,15 @@
 impl Caller {
     /// Connects, or returns `None` if the connection fails.
     pub fn connect(addr: SocketAddr) -> Option<Self> {
-        let stream = TcpStream::connect(addr).ok()?;
+        Self::connect_from(Ipv4Addr::LOCALHOST, addr)
+    }
+
+    /// Connects from a loopback address, which stands for a host, or returns `None` if the connection fails.
+    pub fn connect_from(host: Ipv4Addr, addr: SocketAddr) -> Option<Self> {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).ok()?;
+        socket.bind(&SocketAddr::from((host, 0)).into()).ok()?;
+        socket.connect(&addr.into()).ok()?;
+        let stream = TcpStream::from(socket);
         let received = Arc::new(Mutex::new(Vec::<ReceivedMessage>::new()));
         let closed_at = Arc::new(Mutex::new(None));
         let (reader_received, reader) = (Arc::clone(&received), stream.try_clone().ok()?);
@@ -67,6 +76,12 @@
         Some(Caller { stream, write_lock, received, closed_at })
     }
 
+    /// Closes the connection.
+    pub fn close(&self) {
+        // It may have been closed by the controller.
+        let _ = self.stream.shutdown(std::net::Shutdown::Both);
+    }
+
     /// When the controller closed the connection; `None` while it is open.
     pub fn closed_at(&self) -> Option<Instant> {
         *self.closed_at.lock().expect("no thread panicked while holding the lock")
@@ -149,6 +164,6 @@
 
 impl Drop for Caller {
     fn drop(&mut self) {
-        let _ = self.stream.shutdown(std::net::Shutdown::Both);
+        self.close();
     }
 }
--- a/trials/src/load.rs
+++ b/trials/src/load.rs
@@ -3,7 +3,8 @@
 
 use crate::caller::{Caller, ReceivedMessage};
 use fastrand::Rng;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
@@ -14,6 +15,10 @@
 /// Pause before a caller opens a connection. It limits the rate of reconnects if the controller closes each
 /// connection at once.
 const RECONNECT_DELAY: Duration = Duration::from_millis(30);
+/// A caller that leaves does so in one of this many steps on average.
+const STEPS_BETWEEN_ABSENCES: u8 = 25;
+/// The range of the time for which a caller that has left has no connection.
+const ABSENCE_MS: RangeInclusive<u64> = 100..=2500;
 
 /// A set-up, as its caller recorded it.
 #[derive(Clone, Debug)]
@@ -31,8 +36,12 @@
 }
 
 /// What one caller recorded.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct CallerRecord {
+    /// The caller's host.
+    pub host: Ipv4Addr,
+    /// When the caller had no connection because it had left: from when, and until when.
+    pub absences: Vec<(Instant, Instant)>,
     /// The set-ups that it sent.
     pub set_ups: Vec<SentSetUp>,
     /// The messages that it received on each connection.
@@ -41,6 +50,14 @@
     pub closed_at: Vec<Option<Instant>>,
 }
 
+impl CallerRecord {
+    /// When the caller returned from the first absence that overlaps a period; `None` if there is none.
+    pub fn return_after(&self, from: Instant, to: Instant) -> Option<Instant> {
+        let absence = self.absences.iter().find(|(left_at, back_at)| *left_at <= to && *back_at >= from);
+        absence.map(|(_, back_at)| *back_at)
+    }
+}
+
 /// The load generator of one caller.
 pub struct LoadGenerator {
     /// The address that the controller listens on.
@@ -51,6 +68,11 @@
     pub seed: u64,
     /// The longest time that the caller waits for an answer.
     pub deadline: Duration,
+    /// The caller's host.
+    pub host: Ipv4Addr,
+    /// Whether the caller closes its connection from time to time and returns later. It does so while it has no set-up
+    /// without an answer.
+    pub leaves: bool,
 }
 
 impl LoadGenerator {
@@ -58,16 +80,26 @@
     /// fail.
     pub fn run(self, stop: &AtomicBool) -> CallerRecord {
         let mut rng = Rng::with_seed(self.seed.wrapping_mul(31).wrapping_add(self.number));
-        let (mut record, mut connections) = (CallerRecord::default(), Vec::<Caller>::new());
+        let mut record = CallerRecord {
+            host: self.host,
+            absences: Vec::new(),
+            set_ups: Vec::new(),
+            received: Vec::new(),
+            closed_at: Vec::new(),
+        };
+        let mut connections = Vec::<Caller>::new();
         let mut sequence = 0;
         while !stop.load(Ordering::Relaxed) {
             if connections.last().is_none_or(|c| c.closed_at().is_some()) {
                 std::thread::sleep(RECONNECT_DELAY);
-                let Some(connection) = Caller::connect(self.addr) else {
+                let Some(connection) = Caller::connect_from(self.host, self.addr) else {
                     continue;
                 };
                 connections.push(connection);
             }
+            if self.leaves && rng.u8(0..STEPS_BETWEEN_ABSENCES) == 0 {
+                self.leave(&mut connections, &mut record, &mut rng);
+            }
             sequence += 1;
             let tag = format!("{:08x}{sequence:08x}", self.seed as u32 ^ (self.number as u32) << 24);
             let connection_index = connections.len() - 1;
@@ -82,6 +114,29 @@
         record
     }
 
+    /// Closes the caller's connection and connects again after a pause, unless a set-up has no answer yet.
+    fn leave(&self, connections: &mut Vec<Caller>, record: &mut CallerRecord, rng: &mut Rng) {
+        let pause = Duration::from_millis(rng.u64(ABSENCE_MS));
+        let index = connections.len() - 1;
+        let received = connections[index].received();
+        let is_answered = |s: &SentSetUp| received.iter().any(|m| m.message.tag == s.tag);
+        let own = record.set_ups.iter().filter(|s| s.connection_index == index);
+        if !own.into_iter().all(|s| s.finished_at.is_some() || is_answered(s)) {
+            return;
+        }
+        let left_at = Instant::now();
+        connections[index].close();
+        std::thread::sleep(pause);
+        loop {
+            if let Some(connection) = Caller::connect_from(self.host, self.addr) {
+                connections.push(connection);
+                break;
+            }
+            std::thread::sleep(RECONNECT_DELAY);
+        }
+        record.absences.push((left_at, Instant::now()));
+    }
+
     /// Releases or cancels a recent call, or sends a set-up with this tag.
     fn step(
         &self,
--- a/trials/src/plan.rs
+++ b/trials/src/plan.rs
@@ -3,11 +3,14 @@
 use crate::exchange::{Behavior, IdlePolicy};
 use clap::ValueEnum;
 use fastrand::Rng;
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 /// Number of fake exchanges, in the cells from 1 on. Cell 0 is the controller's own exchange; its entry in the list has
 /// the address of the first fake exchange.
 pub const EXCHANGE_COUNT: usize = 3;
+/// The last number of the address of the first caller's host, where each has its own.
+const FIRST_CALLER_HOST: u8 = 2;
 /// The time of each exchange's first fault is drawn from this range. At its start, some calls are already established.
 const FIRST_FAULT_FROM_MS: u64 = 1500;
 const FIRST_FAULT_UNTIL_MS: u64 = 5000;
@@ -25,6 +28,8 @@
     Replacement,
     /// Releases are lost with connections of exchanges, most of which drain.
     LostReleases,
+    /// Callers on several hosts leave and return while calls end and the controller's process is replaced.
+    Hosts,
 }
 
 /// A fault that a trial injects, or the recovery from one.
@@ -83,6 +88,8 @@
     pub faults: Vec<(Duration, Fault)>,
     /// When the controller is signalled to stop.
     pub stop_at: Duration,
+    /// Whether each caller is on a host of its own, and leaves and returns.
+    pub has_several_hosts: bool,
     /// Whether the controller receives further signals while it stops.
     pub has_extra_stop_signals: bool,
 }
@@ -98,6 +105,7 @@
             Scenario::Faults => Self::draw_faults(seed),
             Scenario::Replacement => Self::draw_calm(scenario, seed, draw_replacements),
             Scenario::LostReleases => Self::draw_calm(scenario, seed, draw_lost_releases),
+            Scenario::Hosts => Self::draw_calm(scenario, seed, draw_process_replacements),
         }
     }
 
@@ -122,10 +130,24 @@
             idle_connection_count: 0,
             faults,
             stop_at: ms(FULL_LENGTH_MS),
+            has_several_hosts: scenario == Scenario::Hosts,
             has_extra_stop_signals: false,
         }
     }
 
+    /// Whether the controller's process is replaced.
+    pub fn has_replacements(&self) -> bool {
+        matches!(self.scenario, Scenario::Replacement | Scenario::Hosts)
+    }
+
+    /// The host of a caller, as a loopback address.
+    pub fn caller_host(&self, number: u64) -> Ipv4Addr {
+        match self.has_several_hosts {
+            true => Ipv4Addr::new(127, 0, 0, FIRST_CALLER_HOST + number as u8),
+            false => Ipv4Addr::LOCALHOST,
+        }
+    }
+
     fn draw_faults(seed: u64) -> Self {
         let mut generator = Rng::with_seed(seed);
         let rng = &mut generator;
@@ -148,6 +170,7 @@
             idle_connection_count: if rng.u8(0..4) == 0 { rng.usize(40..120) } else { 0 },
             faults,
             stop_at: ms(stop_at),
+            has_several_hosts: false,
             has_extra_stop_signals: rng.bool(),
         }
     }
@@ -216,13 +239,20 @@
     }
 }
 
-/// Draws one or two replacements of the controller's process, and at most one fault of each exchange.
-fn draw_replacements(rng: &mut Rng) -> Vec<(Duration, Fault)> {
+/// Draws one or two replacements of the controller's process. The first one comes first.
+fn draw_process_replacements(rng: &mut Rng) -> Vec<(Duration, Fault)> {
     let first = rng.u64(FIRST_FAULT_FROM_MS..FIRST_FAULT_UNTIL_MS);
     let mut faults = vec![(ms(first), Fault::ReplaceController)];
     if rng.bool() {
         faults.push((ms(first + rng.u64(1000..4000)), Fault::ReplaceController));
     }
+    faults
+}
+
+/// Draws one or two replacements of the controller's process, and at most one fault of each exchange.
+fn draw_replacements(rng: &mut Rng) -> Vec<(Duration, Fault)> {
+    let mut faults = draw_process_replacements(rng);
+    let first = faults[0].0.as_millis() as u64;
     for i in 0..EXCHANGE_COUNT {
         let at = ms(first + rng.u64(0..2000));
         match rng.u8(0..8) {
--- a/trials/src/rules.rs
+++ b/trials/src/rules.rs
@@ -5,6 +5,7 @@
 use crate::load::{CallerRecord, SentSetUp};
 use std::collections::HashMap;
 use std::fmt;
+use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
 /// An answer may come at most this long after its caller's deadline. A later one breaks the rule, since the call is
@@ -90,14 +91,18 @@
     pub fn check(&self) -> (Vec<Violation>, Counts) {
         let (mut violations, mut counts) = (Vec::new(), Counts::default());
         // The controller may report the end of a call on any connection from the caller's host.
-        let mut received: HashMap<&str, Vec<&ReceivedMessage>> = HashMap::new();
-        for m in self.callers.iter().flat_map(|c| c.received.iter().flatten()) {
-            received.entry(&m.message.tag).or_default().push(m);
+        let mut received: HashMap<(Ipv4Addr, &str), Vec<&ReceivedMessage>> = HashMap::new();
+        for caller in &self.callers {
+            for m in caller.received.iter().flatten() {
+                received.entry((caller.host, &m.message.tag)).or_default().push(m);
+            }
         }
         for caller in &self.callers {
             for set_up in &caller.set_ups {
-                let messages =
-                    received.get_mut(set_up.tag.as_str()).map(std::mem::take).unwrap_or_default();
+                let messages = received
+                    .get_mut(&(caller.host, set_up.tag.as_str()))
+                    .map(std::mem::take)
+                    .unwrap_or_default();
                 counts.set_ups += 1;
                 let description = self.check_call(caller, set_up, &messages, &mut counts);
                 violations.extend(
@@ -105,6 +110,13 @@
                 );
             }
         }
+        // What is left belongs to no call of the host.
+        let foreign = received.into_iter().filter(|(_, messages)| !messages.is_empty());
+        violations.extend(foreign.map(|((host, tag), messages)| {
+            let (verb, at) = (&messages[0].message.verb, self.seconds_since_start(messages[0].at));
+            let description = format!("{verb} told to {host} at {at}, which is not its caller's host");
+            Violation { tag: tag.to_owned(), description }
+        }));
         (violations, counts)
     }
 
@@ -148,7 +160,7 @@
         if set_up.finished_at.is_some() {
             return None;
         }
-        self.check_end(set_up, answer, end_reported_at, counts)
+        self.check_end(caller, set_up, answer, end_reported_at, counts)
     }
 
     /// Checks a set-up that got no answer. That is allowed if its caller finished it, or if its connection closed or the
@@ -167,6 +179,7 @@
     /// Checks the end of an established call that its caller did not release.
     fn check_end(
         &self,
+        caller: &CallerRecord,
         set_up: &SentSetUp,
         answer: &ReceivedMessage,
         end_reported_at: Option<Instant>,
@@ -190,6 +203,9 @@
         let released_in_time = call.released_at.filter(|at| *at <= ended_at + MAX_RELEASE_SEND_DELAY);
         let due = released_in_time
             .map_or(ended_at + MAX_END_REPORT_DELAY, |at| at + MAX_RELEASE_FORWARD_DELAY);
+        // A caller that has left can be told when it returns.
+        let returned_at = caller.return_after(released_in_time.unwrap_or(ended_at), due);
+        let due = returned_at.map_or(due, |at| due.max(at + MAX_RELEASE_FORWARD_DELAY));
         counts.without_release += usize::from(released_in_time.is_none());
         // A controller that has ended can't report anything.
         if due >= self.ended_at {
--- a/trials/src/trial.rs
+++ b/trials/src/trial.rs
@@ -162,7 +162,7 @@
     let mut servers = vec![server_json(0, "in_service", exchanges[0].addr)];
     servers.extend((0..EXCHANGE_COUNT).map(|i| server_json(i + 1, "in_service", exchanges[i].addr)));
     let config = config_json(journal.addr, &servers, plan.max_descriptors, plan.deadline);
-    let controller = Controller::start(program, config, scenario == Scenario::Replacement);
+    let controller = Controller::start(program, config, plan.has_replacements());
     let addr = controller.addr();
     let (was_reset, deadline) = (vec![false; EXCHANGE_COUNT], plan.deadline);
     let mut testbed = Testbed { exchanges, was_reset, journal, controller, deadline };
@@ -174,7 +174,8 @@
             .map(|number| {
                 scope.spawn({
                     let stop_load = &stop_load;
-                    move || LoadGenerator { addr, number, seed, deadline }.run(stop_load)
+                    let (host, leaves) = (plan.caller_host(number), plan.has_several_hosts);
+                    move || LoadGenerator { addr, number, seed, deadline, host, leaves }.run(stop_load)
                 })
             })
             .collect();
