Release calls at the end of a planned restart in small batches, and read what arrives

Callers saw: set-ups that arrived while many calls were released at the end of a shutdown without a successor were not read, as the process released all calls in one iteration and ended with it.

Change: 64 calls an iteration, and the process ends only when nothing is left over to read.

The tests that start with the own exchange and exchange 1 at one address take the list, and the operator's file with a SIP front, from tests/common.

--- a/node/src/engine/liveness.rs
+++ b/node/src/engine/liveness.rs
@@ -10,6 +10,10 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+/// Maximum number of calls that are released in one iteration of the event loop at the end of a graceful shutdown, so
+/// that set-ups that arrive meanwhile are read.
+const MAX_RELEASES_AT_ONCE: usize = 64;
+
 /// A request of the engine to the front that holds the connections to an exchange.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionRequest {
@@ -270,22 +274,26 @@
 
     /// At the end of a graceful shutdown without a successor, releases the established calls on both sides. Once this
     /// process has ended, nobody knows them. A call whose caller is not reachable is left to its exchange, which
-    /// repeats the release to the next process.
+    /// repeats the release to the next process. Releases up to [`MAX_RELEASES_AT_ONCE`] calls and returns whether there
+    /// were any, in which case it is to be called again.
     pub fn release_at_shutdown<D: From<EngineTimer>>(
         &mut self,
         now: Duration,
         is_reachable: impl Fn(CallToken) -> bool,
         timers: &mut TimerQueue<D>,
-    ) {
+    ) -> bool {
         let established = self.attempts.iter().filter(|(_, a)| a.is_established);
         let attempts: Vec<_> = established
             .filter(|(_, a)| is_reachable(a.call))
             .map(|(token, _)| AttemptToken(token))
+            .take(MAX_RELEASES_AT_ONCE)
             .collect();
+        let is_any_released = !attempts.is_empty();
         for attempt in attempts {
             self.commands.push_back(Command::ReleaseExchange(attempt, ReleaseCause::Dropped));
             self.attempt_ended(now, attempt, EndReason::ShutDown, timers);
         }
+        is_any_released
     }
 
     /// At the end of a process that is replaced, sends the callers a release of each call at a process that
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -400,6 +400,7 @@
                 }
             }
         }
+        let mut is_releasing = false;
         if cx.lifecycle.abandons_calls(now) {
             if clients.is_handing_over() {
                 cx.engine.release_superseded(now, cx.timers);
@@ -407,7 +408,7 @@
                 let is_reachable = |call| {
                     clients.is_caller_reachable(call) || sip.as_ref().is_some_and(|s| s.has_call(call))
                 };
-                cx.engine.release_at_shutdown(now, is_reachable, cx.timers);
+                is_releasing = cx.engine.release_at_shutdown(now, is_reachable, cx.timers);
             }
         }
         if cx.lifecycle.ends_dialogs(now) && cx.engine.unanswered_calls() == 0 {
@@ -462,6 +463,8 @@
             let operators_flushed = operators.as_ref().is_none_or(Operators::is_flushed);
             let is_flushed = clients.is_flushed()
                 && clients.pending_release_count() == 0
+                && !is_releasing
+                && !clients.has_unread()
                 && exchanges.is_flushed()
                 && !exchanges.has_pending_releases()
                 && handover.is_received()
@@ -491,7 +494,8 @@
         let timeout =
             timeout.map(|w| w + Duration::from_micros(999)).map(|w| w.min(Duration::from_secs(1)));
         // Do not block while data or connections are left over from this iteration.
-        let unread = clients.has_unread() || exchanges.has_unread();
+        // Releasing many calls takes time, so set-ups that have arrived meanwhile are read before the end.
+        let unread = is_releasing || clients.has_unread() || exchanges.has_unread();
         let unread = unread || operators.as_ref().is_some_and(Operators::has_unread);
         let unread = unread || sip.as_ref().is_some_and(Sip::has_unread);
         let timeout = if unread { Some(Duration::ZERO) } else { timeout };
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -31,6 +31,15 @@
     )
 }
 
+/// The own exchange and exchange 1, both in service at an address.
+pub fn two_servers(addr: SocketAddr) -> [String; 2] {
+    [server_entry("s-own", 0, "in_service", addr), server_entry("s-one", 1, "in_service", addr)]
+}
+
+/// An operator's file with a SIP front over both transports, whose numbers that begin with 21 belong to exchange 1.
+pub const SIP_FRONT_FILE: &str = "[sip]\nudp = \"127.0.0.1:0\"\ntcp = \"127.0.0.1:0\"\n\
+     [[sip.number]]\nprefix = \"21\"\nexchange = 1\nclass = \"voice\"\n";
+
 /// One event of the journal service as a JSON line. `full`: it has the whole list, not only the changes.
 pub fn journal_event(pos: u32, full: bool, servers: &[String]) -> String {
     let servers = servers.join(",");
--- a/node/tests/flood.rs
+++ b/node/tests/flood.rs
@@ -36,12 +36,9 @@
         let turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
         let (listener, addr) = bind_listener();
         let journal = StubJournal::new();
-        let servers =
-            [server_entry("s-own", 0, "in_service", addr), server_entry("s-one", 1, "in_service", addr)];
-        let operator_file = "[sip]\nudp = \"127.0.0.1:0\"\ntcp = \"127.0.0.1:0\"\n\
-             [[sip.number]]\nprefix = \"21\"\nexchange = 1\nclass = \"voice\"\n";
+        let servers = two_servers(addr);
         let config = with_admin_addr(&config_json(journal.addr, &servers));
-        let daemon = Daemon::start(&config, Some(operator_file));
+        let daemon = Daemon::start(&config, Some(SIP_FRONT_FILE));
         let exchange = LinePeer::accept(&listener);
         FloodHarness { _turn: turn, daemon, _exchange: exchange, _journal: journal }
     }
--- a/node/tests/journal.rs
+++ b/node/tests/journal.rs
@@ -25,8 +25,7 @@
 }
 
 fn config(journal: &StubJournal, addr: SocketAddr) -> String {
-    let servers =
-        [server_entry("s-own", 0, "in_service", addr), server_entry("s-one", 1, "in_service", addr)];
+    let servers = two_servers(addr);
     config_json(journal.addr, &servers)
 }
 
--- a/node/tests/left_clients.rs
+++ b/node/tests/left_clients.rs
@@ -64,11 +64,7 @@
 }
 
 fn config(journal: &StubJournal, exchange_addr: SocketAddr, addr: SocketAddr) -> String {
-    let servers = [
-        server_entry("s-own", 0, "in_service", exchange_addr),
-        server_entry("s-one", 1, "in_service", exchange_addr),
-    ];
-    config_json(journal.addr, &servers)
+    config_json(journal.addr, &two_servers(exchange_addr))
         .replace("\"listen\":\"127.0.0.1:0\"", &format!("\"listen\":\"{addr}\""))
 }
 
@@ -166,11 +162,8 @@
 /// Starts the daemon with a SIP front and an exchange over lines.
 fn start_with_sip_front(journal: &StubJournal) -> (Daemon, LinePeer) {
     let (listener, addr) = bind_listener();
-    let servers =
-        [server_entry("s-own", 0, "in_service", addr), server_entry("s-one", 1, "in_service", addr)];
-    let operator_file = "[sip]\nudp = \"127.0.0.1:0\"\ntcp = \"127.0.0.1:0\"\n\
-         [[sip.number]]\nprefix = \"21\"\nexchange = 1\nclass = \"voice\"\n";
-    let daemon = Daemon::start(&config_json(journal.addr, &servers), Some(operator_file));
+    let servers = two_servers(addr);
+    let daemon = Daemon::start(&config_json(journal.addr, &servers), Some(SIP_FRONT_FILE));
     (daemon, LinePeer::accept(&listener))
 }
 
--- a/node/tests/releases.rs
+++ b/node/tests/releases.rs
@@ -13,8 +13,7 @@
 fn start_with_call_of_closed_caller() -> (Daemon, LinePeer, StubJournal) {
     let (exchange_listener, addr) = bind_listener();
     let journal = StubJournal::new();
-    let servers =
-        [server_entry("s-own", 0, "in_service", addr), server_entry("s-one", 1, "in_service", addr)];
+    let servers = two_servers(addr);
     let mut daemon = Daemon::start(&config_json(journal.addr, &servers), None);
     let mut exchange = LinePeer::accept(&exchange_listener);
     let mut caller = daemon.connect_client();
@@ -63,8 +62,7 @@
     const MAX_DELAY: Duration = Duration::from_millis(400);
     let (exchange_listener, addr) = bind_listener();
     let journal = StubJournal::new();
-    let servers =
-        [server_entry("s-own", 0, "in_service", addr), server_entry("s-one", 1, "in_service", addr)];
+    let servers = two_servers(addr);
     let mut daemon = Daemon::start(&config_json(journal.addr, &servers), None);
     let mut exchange = LinePeer::accept(&exchange_listener);
     let (mut caller, mut other) = (daemon.connect_client(), daemon.connect_client());
--- a/node/tests/replaced_exchanges.rs
+++ b/node/tests/replaced_exchanges.rs
@@ -24,8 +24,7 @@
     fn new() -> Self {
         let (listener, addr) = bind_listener();
         let journal = StubJournal::new();
-        let servers =
-            [server_entry("s-own", 0, "in_service", addr), server_entry("s-one", 1, "in_service", addr)];
+        let servers = two_servers(addr);
         let mut daemon = Daemon::start(&config_json(journal.addr, &servers), None);
         daemon.wait_for_log("started");
         Harness { daemon, listener, addr, journal: journal.accept() }
@@ -92,8 +91,7 @@
     let journal = StubJournal::new();
     let mut exchange = SipPeer::udp("127.0.0.1:9".parse().expect("a valid address"));
     let addr = exchange.local_addr();
-    let servers =
-        [server_entry("s-own", 0, "in_service", addr), server_entry("s-one", 1, "in_service", addr)];
+    let servers = two_servers(addr);
     let operator_file = format!(
         "[sip]\nudp = \"127.0.0.1:0\"\nt1_ms = 100\n\
          [[sip.exchange]]\ncell = 1\naddress = \"{addr}\"\ntransport = \"udp\"\n"
--- a/node/tests/restart.rs
+++ b/node/tests/restart.rs
@@ -3,7 +3,7 @@
 
 mod common;
 use common::*;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, TcpListener};
 use std::time::{Duration, Instant};
 
 const TAG: &str = "9b1f03aa5c7e2d41";
@@ -29,7 +29,7 @@
     fn new() -> Self {
         let (listener, addr) = bind_listener();
         let journal = StubJournal::new();
-        let config = config_json(journal.addr, &servers(addr));
+        let config = config_json(journal.addr, &two_servers(addr));
         RestartHarness { listener, config, _journal: journal }
     }
 
@@ -55,10 +55,6 @@
     }
 }
 
-fn servers(addr: SocketAddr) -> [String; 2] {
-    [server_entry("s-own", 0, "in_service", addr), server_entry("s-one", 1, "in_service", addr)]
-}
-
 /// Checks that the process has ended without a release of the call to its exchange, which would have no caller to tell.
 fn expect_no_release(exchange: &mut LinePeer) {
     while let Some(line) = exchange.receive_within(SETTLE_TIME).filter(|line| !line.is_empty()) {
@@ -210,7 +206,7 @@
     let (listener, addr) = bind_listener();
     let sip_exchange = SipPeer::udp("127.0.0.1:9".parse().expect("a valid address"));
     let sip_addr = sip_exchange.local_addr();
-    let mut servers = servers(addr).to_vec();
+    let mut servers = two_servers(addr).to_vec();
     servers.push(server_entry("s-two", 2, "in_service", sip_addr));
     let operator_file = format!(
         "[sip]\nudp = \"127.0.0.1:0\"\nt1_ms = 100\n\
@@ -314,3 +310,38 @@
     assert!(daemon.exits_successfully());
     assert!(stopped_at.elapsed() < MIN_KILL_DELAY);
 }
+
+/// Guards against set-ups that arrive while many calls are released at the end of a planned restart, and are not read.
+#[test]
+fn set_ups_that_arrive_while_calls_are_released_are_answered() {
+    const CALL_COUNT: u64 = 1000;
+    /// A set-up that crosses the end of its connection within this time is sent again elsewhere.
+    const MAX_CROSSING_TIME: Duration = Duration::from_millis(50);
+    const SEND_INTERVAL: Duration = Duration::from_millis(2);
+    let harness = RestartHarness::new();
+    let (mut daemon, mut exchange) = harness.start();
+    let (mut caller, mut sender) = (daemon.connect_client(), daemon.connect_client());
+    for n in 0..CALL_COUNT {
+        establish_call(&mut exchange, &mut caller, &format!("{n:016x}"));
+    }
+    // A connection without an answer would be closed.
+    assert!(sender.is_ready());
+    daemon.send_sigterm();
+    std::thread::sleep(Duration::from_millis(3300));
+    let mut sent = Vec::new();
+    while daemon.is_running() {
+        let tag = format!("{:016x}", 0xf000 + sent.len());
+        let set_up = format!(
+            r#"{{"verb":"START","tag":"{tag}","opts":{{"class":"voice","left":"3000","key":"{tag}","extras":"dest:1;width:1;via:-1"}},"blob":"b"}}"#
+        );
+        sent.push((tag, Instant::now()));
+        sender.send_bytes(format!("{set_up}\n").as_bytes());
+        std::thread::sleep(SEND_INTERVAL);
+    }
+    let ended_at = Instant::now();
+    let lines = std::iter::repeat_with(|| sender.receive()).take_while(|line| !line.is_empty());
+    let answers: Vec<_> = lines.collect();
+    let owed = sent.iter().filter(|(_, at)| *at + MAX_CROSSING_TIME < ended_at);
+    let lost: Vec<_> = owed.filter(|(tag, _)| !answers.iter().any(|line| line.contains(tag))).collect();
+    assert!(lost.is_empty(), "{} of {} set-ups are lost", lost.len(), sent.len());
+}
--- a/node/tests/sip_pressure.rs
+++ b/node/tests/sip_pressure.rs
@@ -40,8 +40,7 @@
             _ => (None, tcp_addr),
         };
         let journal = StubJournal::new();
-        let servers =
-            [server_entry("s-own", 0, "in_service", addr), server_entry("s-one", 1, "in_service", addr)];
+        let servers = two_servers(addr);
         let operator_file = format!(
             "[sip]\nudp = \"127.0.0.1:0\"\ntcp = \"127.0.0.1:0\"\n\
              [[sip.exchange]]\ncell = 1\naddress = \"{addr}\"\ntransport = \"{transport}\"\n\
