--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -2,6 +2,8 @@
 //! chooses every port, so that tests can run at the same time.
 #![allow(dead_code)] // each test binary uses only some of these items
 
+pub mod site;
+
 use mio::Poll;
 use slateshed::{DialledNumber, ExchangeNumber, Origin};
 use slateshed_node::config::{Config, Limits, WireConfig};
@@ -205,17 +207,21 @@
         }
     }
 
+    /// The address on which the daemon listens for clients.
+    pub fn client_addr(&mut self) -> SocketAddr {
+        let addr = self.wait_for_log("n0 started: listening on ");
+        addr.parse().expect("the logged address is valid")
+    }
+
     /// Connects as a client, once the daemon listens.
     pub fn connect_client(&mut self) -> LinePeer {
-        let addr: SocketAddr =
-            self.wait_for_log("n0 started: listening on ").parse().expect("the logged address is valid");
+        let addr = self.client_addr();
         LinePeer::new(TcpStream::connect(addr).expect("the daemon listens"))
     }
 
     /// Connects as a client on a host with a loopback address of its own, once the daemon listens.
     pub fn connect_client_from(&mut self, host: Ipv4Addr) -> LinePeer {
-        let addr: SocketAddr =
-            self.wait_for_log("n0 started: listening on ").parse().expect("the logged address is valid");
+        let addr = self.client_addr();
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("the socket is created");
         socket.bind(&SocketAddr::from((host, 0)).into()).expect("the host's address is bound");
         socket.connect(&addr.into()).expect("the daemon listens");
--- a/node/tests/flood.rs
+++ b/node/tests/flood.rs
@@ -2,6 +2,7 @@
 //! and the memory stays within its limit.
 
 mod common;
+use common::site::TestSite;
 use common::*;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream, UdpSocket};
@@ -27,25 +28,16 @@
     _turn: MutexGuard<'static, ()>,
     daemon: Daemon,
     _exchange: LinePeer,
-    _journal: StubJournal,
+    _site: TestSite,
 }
 
 impl FloodHarness {
     fn new() -> Self {
         static TURN: Mutex<()> = Mutex::new(());
         let turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
-        let (listener, addr) = bind_listener();
-        let journal = StubJournal::new();
-        let servers = two_servers(addr);
-        let config = with_admin_addr(&config_json(journal.addr, &servers));
-        let daemon = Daemon::start(&config, Some(SIP_FRONT_FILE));
-        let exchange = LinePeer::accept(&listener);
-        FloodHarness { _turn: turn, daemon, _exchange: exchange, _journal: journal }
-    }
-
-    fn client_addr(&mut self) -> SocketAddr {
-        let addr = self.daemon.wait_for_log("n0 started: listening on ");
-        addr.parse().expect("the logged address is valid")
+        let site = TestSite::new().with_admin_addr().with_sip_front();
+        let (daemon, exchange) = site.start_with_exchange();
+        FloodHarness { _turn: turn, daemon, _exchange: exchange, _site: site }
     }
 
     /// Checks that other clients of both fronts are answered in time while a flood is sent on a connection.
@@ -148,7 +140,7 @@
 #[test]
 fn others_are_answered_during_a_flood_of_tests() {
     let mut harness = FloodHarness::new();
-    let addr = harness.client_addr();
+    let addr = harness.daemon.client_addr();
     harness
         .check("ECHO", addr, |_| "{\"verb\":\"ECHO\",\"tag\":\"e\",\"opts\":{},\"rc\":0}\n".to_owned());
 }
@@ -157,7 +149,7 @@
 #[test]
 fn others_are_answered_during_a_flood_of_unsound_set_ups() {
     let mut harness = FloodHarness::new();
-    let addr = harness.client_addr();
+    let addr = harness.daemon.client_addr();
     harness.check("START without a class", addr, |n| set_up(n).replace("voice", ""));
 }
 
@@ -165,7 +157,7 @@
 #[test]
 fn others_are_answered_during_a_flood_of_set_ups() {
     let mut harness = FloodHarness::new();
-    let addr = harness.client_addr();
+    let addr = harness.daemon.client_addr();
     harness.check("START", addr, set_up);
 }
 
@@ -173,7 +165,7 @@
 #[test]
 fn others_are_answered_during_a_flood_of_set_ups_that_are_given_up() {
     let mut harness = FloodHarness::new();
-    let addr = harness.client_addr();
+    let addr = harness.daemon.client_addr();
     harness.check("START and FINISH", addr, |n| {
         set_up(n) + &format!("{{\"verb\":\"FINISH\",\"tag\":\"{n:016x}\",\"opts\":{{}},\"rc\":16}}\n")
     });
@@ -183,7 +175,7 @@
 #[test]
 fn others_are_answered_during_a_flood_of_lines_that_are_no_message() {
     let mut harness = FloodHarness::new();
-    let addr = harness.client_addr();
+    let addr = harness.daemon.client_addr();
     harness.check("no message", addr, |n| format!("{n}\n"));
 }
 
--- a/node/tests/handover.rs
+++ b/node/tests/handover.rs
@@ -2,9 +2,10 @@
 //! callers, whichever process the exchange and the callers are connected to.
 
 mod common;
+use common::site::TestSite;
 use common::*;
 use slateshed_trials::exchange::{Behavior, FaultyExchange};
-use std::net::{Ipv4Addr, TcpListener};
+use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
 const TAG: &str = "9b1f03aa5c7e2d41";
@@ -20,39 +21,27 @@
 struct Replacement {
     old_daemon: Daemon,
     new_daemon: Daemon,
-    exchange_listener: TcpListener,
     /// The connection of the old process to the exchange.
     old_exchange_connection: LinePeer,
     /// The connection of the new process to the exchange.
     new_exchange_connection: LinePeer,
-    _journal: StubJournal,
+    site: TestSite,
 }
 
 impl Replacement {
     /// Starts both processes. `prepare` is called before the new process starts, with the old process and its
     /// connection to the exchange.
     fn start(prepare: impl FnOnce(&mut Daemon, &mut LinePeer)) -> Self {
-        let (exchange_listener, addr) = bind_listener();
-        let journal = StubJournal::new();
-        let servers =
-            [server_entry("s-own", 0, "in_service", addr), server_entry("s-one", 1, "in_service", addr)];
         let (socket, _) = bind_listener();
-        let config = with_admin_addr(&config_json(journal.addr, &servers))
-            .replace("127.0.0.1:0\",\"seed", "127.0.0.1:1\",\"seed");
-        let mut old_daemon = Daemon::start_with_socket(&config, &socket);
-        let mut old_exchange_connection = LinePeer::accept(&exchange_listener);
+        let unused_addr = ([127, 0, 0, 1], 1).into();
+        let site = TestSite::new().with_admin_addr().with_listen_addr(unused_addr);
+        let mut old_daemon = site.start_on(&socket);
+        let mut old_exchange_connection = site.accept_exchange();
         prepare(&mut old_daemon, &mut old_exchange_connection);
-        let mut new_daemon = Daemon::start_with_socket(&config, &socket);
+        let mut new_daemon = site.start_on(&socket);
         assert_eq!(new_daemon.operator_request("HEALTH"), ["done"]);
-        let new_exchange_connection = LinePeer::accept(&exchange_listener);
-        Replacement {
-            old_daemon,
-            new_daemon,
-            exchange_listener,
-            old_exchange_connection,
-            new_exchange_connection,
-            _journal: journal,
-        }
+        let new_exchange_connection = site.accept_exchange();
+        Replacement { old_daemon, new_daemon, old_exchange_connection, new_exchange_connection, site }
     }
 
     /// Stops the old process and waits until it has handed over its calls.
@@ -189,7 +178,7 @@
     // The old process is killed before it has read the release.
     replacement.stop_old_daemon();
     replacement.old_daemon.kill();
-    let mut repeat_connection = LinePeer::accept(&replacement.exchange_listener);
+    let mut repeat_connection = replacement.site.accept_exchange();
     let mut client = replacement.new_daemon.connect_client();
     repeat_connection.send(&release(TAG));
     expect_release(&mut client, TAG, Instant::now());
@@ -199,12 +188,8 @@
 /// caller has yet to connect.
 #[test]
 fn stopping_process_waits_for_the_caller_of_a_pending_release() {
-    let (exchange_listener, addr) = bind_listener();
-    let journal = StubJournal::new();
-    let servers =
-        [server_entry("s-own", 0, "in_service", addr), server_entry("s-one", 1, "in_service", addr)];
-    let mut daemon = Daemon::start(&config_json(journal.addr, &servers), None);
-    let mut exchange = LinePeer::accept(&exchange_listener);
+    let site = TestSite::new();
+    let (mut daemon, mut exchange) = site.start_with_exchange();
     let mut client = daemon.connect_client();
     establish_call(&mut exchange, &mut client, TAG);
     drop(client);
--- a/node/tests/left_clients.rs
+++ b/node/tests/left_clients.rs
@@ -2,6 +2,7 @@
 //! is not set up twice.
 
 mod common;
+use common::site::TestSite;
 use common::*;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
@@ -20,21 +21,18 @@
     daemon: Daemon,
     exchange: LinePeer,
     addr: SocketAddr,
-    listener: TcpListener,
-    journal: StubJournal,
+    site: TestSite,
     socket: TcpListener,
 }
 
 impl Harness {
     /// Starts the daemon on a socket that another process can take over, with both fronts and one exchange.
     fn new() -> Self {
-        let (listener, exchange_addr) = bind_listener();
-        let journal = StubJournal::new();
         let (socket, addr) = bind_listener();
-        let config = config(&journal, exchange_addr, addr);
-        let daemon = Daemon::start_with_socket(&config, &socket);
-        let exchange = LinePeer::accept(&listener);
-        Harness { daemon, exchange, addr, listener, journal, socket }
+        let site = TestSite::new().with_listen_addr(addr);
+        let daemon = site.start_on(&socket);
+        let exchange = site.accept_exchange();
+        Harness { daemon, exchange, addr, site, socket }
     }
 
     fn connect_client(&self) -> LinePeer {
@@ -63,11 +61,6 @@
     }
 }
 
-fn config(journal: &StubJournal, exchange_addr: SocketAddr, addr: SocketAddr) -> String {
-    config_json(journal.addr, &two_servers(exchange_addr))
-        .replace("\"listen\":\"127.0.0.1:0\"", &format!("\"listen\":\"{addr}\""))
-}
-
 /// Guards against set-ups that are sent on although their client has left, and against ends of calls that are passed
 /// over with them.
 #[test]
@@ -144,11 +137,9 @@
     let mut client = harness.connect_client();
     client.send_start(TAG, 3000, 1);
     assert_eq!(harness.exchange.receive_start(), TAG);
-    let exchange_addr = harness.listener.local_addr().expect("the socket has an address");
-    let config = config(&harness.journal, exchange_addr, harness.addr);
-    let mut new_daemon = Daemon::start_with_socket(&config, &harness.socket);
+    let mut new_daemon = harness.site.start_on(&harness.socket);
     new_daemon.wait_for_log("started: listening");
-    let mut new_exchange = LinePeer::accept(&harness.listener);
+    let mut new_exchange = harness.site.accept_exchange();
     harness.daemon.send_sigterm();
     harness.daemon.wait_for_log("handover-started");
     drop(client);
@@ -159,19 +150,11 @@
     assert!(!received.is_some_and(|line| line.contains("START")), "set up again");
 }
 
-/// Starts the daemon with a SIP front and an exchange over lines.
-fn start_with_sip_front(journal: &StubJournal) -> (Daemon, LinePeer) {
-    let (listener, addr) = bind_listener();
-    let servers = two_servers(addr);
-    let daemon = Daemon::start(&config_json(journal.addr, &servers), Some(SIP_FRONT_FILE));
-    (daemon, LinePeer::accept(&listener))
-}
-
 /// Guards against INVITEs that are sent on although the peer has left their stream.
 #[test]
 fn invites_that_were_not_read_before_the_peer_left_are_given_up() {
-    let journal = StubJournal::new();
-    let (mut daemon, mut exchange) = start_with_sip_front(&journal);
+    let site = TestSite::new().with_sip_front();
+    let (mut daemon, mut exchange) = site.start_with_exchange();
     let addr = daemon.sip_addr("tcp");
     let mut caller = SipPeer::tcp(TcpStream::connect(addr).expect("the SIP front listens"));
     caller.send(&sip_request("OPTIONS", &caller, 1000, "", "", ""));
@@ -189,8 +172,8 @@
 /// Guards against a call that runs twice, as its INVITE comes again on another path.
 #[test]
 fn invite_that_comes_again_on_another_path_is_rejected() {
-    let journal = StubJournal::new();
-    let (mut daemon, mut exchange) = start_with_sip_front(&journal);
+    let site = TestSite::new().with_sip_front();
+    let (mut daemon, mut exchange) = site.start_with_exchange();
     let mut caller = SipPeer::udp(daemon.sip_addr("udp"));
     let mut other_path = SipPeer::udp(daemon.sip_addr("udp"));
     let invite = sip_request("INVITE", &caller, 1, "", "", "v=0\r\n");
@@ -216,8 +199,8 @@
 /// final response there or is set up again.
 #[test]
 fn invite_that_comes_again_on_another_stream_gets_a_final_response() {
-    let journal = StubJournal::new();
-    let (mut daemon, mut exchange) = start_with_sip_front(&journal);
+    let site = TestSite::new().with_sip_front();
+    let (mut daemon, mut exchange) = site.start_with_exchange();
     let addr = daemon.sip_addr("tcp");
     let connect = || SipPeer::tcp(TcpStream::connect(addr).expect("the SIP front listens"));
     let mut caller = connect();
--- a/node/tests/memory.rs
+++ b/node/tests/memory.rs
@@ -1,9 +1,10 @@
 //! Tests of the memory limit: many clients that send large messages slowly, in part or with very many fields.
 
 mod common;
+use common::site::TestSite;
 use common::*;
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
 const MEMORY_LIMIT_BYTES: usize = 32 * 1024 * 1024;
@@ -23,23 +24,14 @@
 /// The daemon with both fronts, a limit of 1,024 descriptors and one exchange over lines.
 struct MemoryHarness {
     daemon: Daemon,
-    listener: TcpListener,
-    _journal: StubJournal,
+    site: TestSite,
 }
 
 impl MemoryHarness {
     fn new() -> Self {
-        let (listener, addr) = bind_listener();
-        let journal = StubJournal::new();
-        let servers = two_servers(addr);
-        let config = with_four_connections(&config_json(journal.addr, &servers));
-        let daemon = Daemon::start(&config, Some(SIP_FRONT_FILE));
-        MemoryHarness { daemon, listener, _journal: journal }
-    }
-
-    fn client_addr(&mut self) -> SocketAddr {
-        let addr = self.daemon.wait_for_log("n0 started: listening on ");
-        addr.parse().expect("the logged address is valid")
+        let site = TestSite::new().with_four_connections().with_sip_front();
+        let daemon = site.start();
+        MemoryHarness { daemon, site }
     }
 
     /// Checks the memory, and that another client of the lines' front is answered.
@@ -73,7 +65,7 @@
 #[test]
 fn clients_that_stop_in_a_large_set_up_stay_within_the_memory_limit() {
     let mut harness = MemoryHarness::new();
-    let addr = harness.client_addr();
+    let addr = harness.daemon.client_addr();
     let part = format!(r#"{{"verb":"START","blob":"{}"#, "x".repeat(LARGE_LINE_BYTES));
     let _clients = write_slowly(addr, CLIENT_COUNT, part.as_bytes(), 1000);
     harness.expect_within_limit();
@@ -94,7 +86,7 @@
 #[test]
 fn slow_clients_of_both_fronts_together_stay_within_the_memory_limit() {
     let mut harness = MemoryHarness::new();
-    let (addr, sip_addr) = (harness.client_addr(), harness.daemon.sip_addr("tcp"));
+    let (addr, sip_addr) = (harness.daemon.client_addr(), harness.daemon.sip_addr("tcp"));
     let part = format!(r#"{{"verb":"START","blob":"{}"#, "x".repeat(LARGE_LINE_BYTES));
     let _clients = write_slowly(addr, CLIENT_COUNT, part.as_bytes(), 1000);
     let head = format!("INVITE sip:2101@127.0.0.1 SIP/2.0\r\n{}", "a:b\r\n".repeat(LARGE_SIP_BYTES / 5));
@@ -124,7 +116,7 @@
 #[test]
 fn established_calls_with_large_descriptions_stay_within_the_memory_limit() {
     let mut harness = MemoryHarness::new();
-    let mut exchanges: Vec<_> = (0..4).map(|_| LinePeer::accept(&harness.listener)).collect();
+    let mut exchanges: Vec<_> = (0..4).map(|_| harness.site.accept_exchange()).collect();
     let mut client = harness.daemon.connect_client();
     let description = "x".repeat(LARGE_LINE_BYTES - 300);
     for n in 0..2000 {
--- a/node/tests/release_hosts.rs
+++ b/node/tests/release_hosts.rs
@@ -2,6 +2,7 @@
 //! and no other host is sent it.
 
 mod common;
+use common::site::TestSite;
 use common::*;
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -21,22 +22,18 @@
     exchange: LinePeer,
     caller: LinePeer,
     other: LinePeer,
-    _journal: StubJournal,
+    _site: TestSite,
 }
 
 impl HostsHarness {
     fn new() -> Self {
-        let (exchange_listener, addr) = bind_listener();
-        let journal = StubJournal::new();
-        let servers =
-            [server_entry("s-own", 0, "in_service", addr), server_entry("s-one", 1, "in_service", addr)];
-        let mut daemon = Daemon::start(&with_admin_addr(&config_json(journal.addr, &servers)), None);
-        let mut exchange = LinePeer::accept(&exchange_listener);
+        let site = TestSite::new();
+        let (mut daemon, mut exchange) = site.start_with_exchange();
         let mut caller = daemon.connect_client_from(CALLER_HOST);
         establish_call(&mut exchange, &mut caller, TAG);
         let mut other = daemon.connect_client_from(OTHER_HOST);
         establish_call(&mut exchange, &mut other, OTHER_TAG);
-        HostsHarness { daemon, exchange, caller, other, _journal: journal }
+        HostsHarness { daemon, exchange, caller, other, _site: site }
     }
 
     /// Closes the connection of the call, and has the exchange release the call once the daemon has seen that.
--- a/node/tests/releases.rs
+++ b/node/tests/releases.rs
@@ -1,6 +1,7 @@
 //! Releases of callers whose connections are closed while health checks from the same host are connected.
 
 mod common;
+use common::site::TestSite;
 use common::*;
 use std::time::{Duration, Instant};
 
@@ -10,15 +11,12 @@
 const MAX_RELEASE_FORWARD_DELAY: Duration = Duration::from_millis(1050);
 
 /// Starts the daemon with one exchange, establishes a call there, and closes the caller's connection.
-fn start_with_call_of_closed_caller() -> (Daemon, LinePeer, StubJournal) {
-    let (exchange_listener, addr) = bind_listener();
-    let journal = StubJournal::new();
-    let servers = two_servers(addr);
-    let mut daemon = Daemon::start(&config_json(journal.addr, &servers), None);
-    let mut exchange = LinePeer::accept(&exchange_listener);
+fn start_with_call_of_closed_caller() -> (Daemon, LinePeer, TestSite) {
+    let site = TestSite::new();
+    let (mut daemon, mut exchange) = site.start_with_exchange();
     let mut caller = daemon.connect_client();
     establish_call(&mut exchange, &mut caller, TAG);
-    (daemon, exchange, journal)
+    (daemon, exchange, site)
 }
 
 /// Checks that a new caller is sent the release, before or after the answer to its set-up.
@@ -35,7 +33,7 @@
 /// Guards against a release that counts as sent because a health check connected before the caller did.
 #[test]
 fn release_sent_to_a_health_check_is_sent_again_to_the_caller() {
-    let (mut daemon, mut exchange, _journal) = start_with_call_of_closed_caller();
+    let (mut daemon, mut exchange, _site) = start_with_call_of_closed_caller();
     exchange.send(RELEASE);
     daemon.wait_for_log("release-kept");
     let mut health_check = daemon.connect_client();
@@ -47,7 +45,7 @@
 /// Guards against a release that is sent to a health check, as no other connection from the caller's host is open.
 #[test]
 fn release_waits_for_the_caller_while_only_a_health_check_is_connected() {
-    let (mut daemon, mut exchange, _journal) = start_with_call_of_closed_caller();
+    let (mut daemon, mut exchange, _site) = start_with_call_of_closed_caller();
     let mut health_check = daemon.connect_client();
     assert!(health_check.is_ready());
     exchange.send(RELEASE);
@@ -60,11 +58,8 @@
 #[test]
 fn release_that_is_sent_again_is_written_at_once() {
     const MAX_DELAY: Duration = Duration::from_millis(400);
-    let (exchange_listener, addr) = bind_listener();
-    let journal = StubJournal::new();
-    let servers = two_servers(addr);
-    let mut daemon = Daemon::start(&config_json(journal.addr, &servers), None);
-    let mut exchange = LinePeer::accept(&exchange_listener);
+    let site = TestSite::new();
+    let (mut daemon, mut exchange) = site.start_with_exchange();
     let (mut caller, mut other) = (daemon.connect_client(), daemon.connect_client());
     establish_call(&mut exchange, &mut other, "00000000000000aa");
     establish_call(&mut exchange, &mut caller, TAG);
--- a/node/tests/replaced_exchanges.rs
+++ b/node/tests/replaced_exchanges.rs
@@ -1,8 +1,9 @@
 //! Tests of a new exchange process at the address of one that has gone: it is not taken for the old one.
 
 mod common;
+use common::site::TestSite;
 use common::*;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 const TAG: &str = "9b1f03aa5c7e2d41";
@@ -14,7 +15,7 @@
 
 struct Harness {
     daemon: Daemon,
-    listener: TcpListener,
+    site: TestSite,
     addr: SocketAddr,
     journal: LinePeer,
 }
@@ -22,12 +23,12 @@
 impl Harness {
     /// Starts the daemon with exchange 1.
     fn new() -> Self {
-        let (listener, addr) = bind_listener();
-        let journal = StubJournal::new();
-        let servers = two_servers(addr);
-        let mut daemon = Daemon::start(&config_json(journal.addr, &servers), None);
+        let site = TestSite::new();
+        let mut daemon = site.start();
         daemon.wait_for_log("started");
-        Harness { daemon, listener, addr, journal: journal.accept() }
+        let addr = site.listener.local_addr().expect("the socket has an address");
+        let journal = site.journal.accept();
+        Harness { daemon, site, addr, journal }
     }
 
     fn tell(&mut self, pos: u32, servers: &[String]) {
@@ -41,7 +42,7 @@
 #[test]
 fn set_up_at_an_exchange_that_has_gone_is_cancelled() {
     let mut harness = Harness::new();
-    let mut old_process = LinePeer::accept(&harness.listener);
+    let mut old_process = harness.site.accept_exchange();
     let mut client = harness.daemon.connect_client();
     client.send_start(TAG, 9000, 1);
     assert_eq!(old_process.receive_start(), TAG);
@@ -54,7 +55,7 @@
     old_process.send_bytes(
         format!("{{\"verb\":\"STARTED\",\"tag\":\"{TAG}\",\"opts\":{{}},\"blob\":\"b\"}}\n").as_bytes(),
     );
-    let mut new_process = LinePeer::accept(&harness.listener);
+    let mut new_process = harness.site.accept_exchange();
     assert_eq!(new_process.receive_start(), TAG);
     assert!(told_at.elapsed() >= RELEASE_DELAY, "set up again within the release delay");
     answer_call(&mut new_process, &mut client, TAG);
@@ -67,7 +68,7 @@
 #[test]
 fn exchange_whose_address_another_one_has_got_is_gone() {
     let mut harness = Harness::new();
-    let mut old_process = LinePeer::accept(&harness.listener);
+    let mut old_process = harness.site.accept_exchange();
     let mut client = harness.daemon.connect_client();
     establish_call(&mut old_process, &mut client, TAG);
     let addr = harness.addr;
@@ -77,7 +78,7 @@
     client.send_start(OTHER_TAG, 900, 1);
     assert!(client.receive().contains(OTHER_TAG), "the call is not answered");
     assert!(told_at.elapsed() < Duration::from_secs(2));
-    let mut new_process = LinePeer::accept(&harness.listener);
+    let mut new_process = harness.site.accept_exchange();
     for process in [&mut old_process, &mut new_process] {
         while let Some(line) = process.receive_within(DRAIN_GRACE).filter(|line| !line.is_empty()) {
             assert!(!line.contains("START"), "sent to the wrong exchange: {line}");
--- a/node/tests/restart.rs
+++ b/node/tests/restart.rs
@@ -2,8 +2,9 @@
 //! by the process that ends or by the next one.
 
 mod common;
+use common::site::TestSite;
 use common::*;
-use std::net::{Ipv4Addr, TcpListener};
+use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
 const TAG: &str = "9b1f03aa5c7e2d41";
@@ -18,41 +19,19 @@
 /// By then a release that is sent at once would have arrived.
 const SETTLE_TIME: Duration = Duration::from_millis(300);
 
-/// One exchange that is reached over lines, and the configuration of the processes that are started one after another.
-struct RestartHarness {
-    listener: TcpListener,
-    config: String,
-    _journal: StubJournal,
-}
-
-impl RestartHarness {
-    fn new() -> Self {
-        let (listener, addr) = bind_listener();
-        let journal = StubJournal::new();
-        let config = config_json(journal.addr, &two_servers(addr));
-        RestartHarness { listener, config, _journal: journal }
-    }
-
-    /// Starts a process and accepts its connection to the exchange.
-    fn start(&self) -> (Daemon, LinePeer) {
-        let daemon = Daemon::start(&self.config, None);
-        (daemon, LinePeer::accept(&self.listener))
-    }
-
-    /// Establishes a call, closes its caller's connection, and restarts the process while the call is established.
-    fn restart_without_caller(&self) -> (Daemon, LinePeer) {
-        let (mut daemon, mut exchange) = self.start();
-        let mut caller = daemon.connect_client();
-        establish_call(&mut exchange, &mut caller, TAG);
-        drop(caller);
-        daemon.send_sigterm();
-        assert!(daemon.exits_successfully());
-        expect_no_release(&mut exchange);
-        // The exchange would repeat releases on it that no later process is told.
-        let is_opened = LinePeer::accept_within(&self.listener, Duration::ZERO).is_some();
-        assert!(!is_opened, "the process has opened another connection during its shutdown");
-        self.start()
-    }
+/// Establishes a call, closes its caller's connection, and restarts the process while the call is established.
+fn restart_without_caller(site: &TestSite) -> (Daemon, LinePeer) {
+    let (mut daemon, mut exchange) = site.start_with_exchange();
+    let mut caller = daemon.connect_client();
+    establish_call(&mut exchange, &mut caller, TAG);
+    drop(caller);
+    daemon.send_sigterm();
+    assert!(daemon.exits_successfully());
+    expect_no_release(&mut exchange);
+    // The exchange would repeat releases on it that no later process is told.
+    let is_opened = LinePeer::accept_within(&site.listener, Duration::ZERO).is_some();
+    assert!(!is_opened, "the process has opened another connection during its shutdown");
+    site.start_with_exchange()
 }
 
 /// Checks that the process has ended without a release of the call to its exchange, which would have no caller to tell.
@@ -77,8 +56,8 @@
 /// Guards against calls that nobody knows after a planned restart, so that their callers are never told of the end.
 #[test]
 fn planned_restart_releases_established_calls_on_both_sides() {
-    let harness = RestartHarness::new();
-    let (mut daemon, mut exchange) = harness.start();
+    let site = TestSite::new();
+    let (mut daemon, mut exchange) = site.start_with_exchange();
     let mut caller = daemon.connect_client();
     establish_call(&mut exchange, &mut caller, TAG);
     daemon.send_sigterm();
@@ -98,8 +77,8 @@
 /// call has closed.
 #[test]
 fn planned_restart_releases_a_call_on_another_connection_of_its_host() {
-    let harness = RestartHarness::new();
-    let (mut daemon, mut exchange) = harness.start();
+    let site = TestSite::new();
+    let (mut daemon, mut exchange) = site.start_with_exchange();
     let mut caller = daemon.connect_client();
     establish_call(&mut exchange, &mut caller, TAG);
     daemon.send_sigterm();
@@ -115,8 +94,8 @@
 /// Guards against the release of a call of an earlier process that is passed over while its caller is connected.
 #[test]
 fn release_after_a_restart_reaches_the_caller_that_has_returned() {
-    let harness = RestartHarness::new();
-    let (mut daemon, mut exchange) = harness.restart_without_caller();
+    let site = TestSite::new();
+    let (mut daemon, mut exchange) = restart_without_caller(&site);
     let mut caller = daemon.connect_client();
     establish_call(&mut exchange, &mut caller, OTHER_TAG);
     exchange.send(RELEASE);
@@ -127,8 +106,8 @@
 /// check, is not connected yet.
 #[test]
 fn release_after_a_restart_waits_for_the_caller() {
-    let harness = RestartHarness::new();
-    let (mut daemon, mut exchange) = harness.restart_without_caller();
+    let site = TestSite::new();
+    let (mut daemon, mut exchange) = restart_without_caller(&site);
     exchange.send(RELEASE);
     daemon.wait_for_log("earlier-call-released");
     let mut health_check = daemon.connect_client();
@@ -142,8 +121,8 @@
 /// caller has begun with a health check.
 #[test]
 fn release_after_a_restart_reaches_a_caller_that_began_with_a_health_check() {
-    let harness = RestartHarness::new();
-    let (mut daemon, mut exchange) = harness.restart_without_caller();
+    let site = TestSite::new();
+    let (mut daemon, mut exchange) = restart_without_caller(&site);
     let mut caller = daemon.connect_client();
     assert!(caller.is_ready());
     exchange.send(RELEASE);
@@ -155,12 +134,12 @@
 /// Guards against calls of a process that was killed whose ends are never told.
 #[test]
 fn release_after_a_crash_reaches_the_caller() {
-    let harness = RestartHarness::new();
-    let (mut daemon, mut exchange) = harness.start();
+    let site = TestSite::new();
+    let (mut daemon, mut exchange) = site.start_with_exchange();
     let mut caller = daemon.connect_client();
     establish_call(&mut exchange, &mut caller, TAG);
     daemon.kill();
-    let (mut daemon, mut exchange) = harness.start();
+    let (mut daemon, mut exchange) = site.start_with_exchange();
     exchange.send(RELEASE);
     let mut caller = daemon.connect_client();
     expect_release(&mut caller, TAG, Instant::now() + MAX_RELEASE_FORWARD_DELAY);
@@ -170,12 +149,12 @@
 /// which did not know the call.
 #[test]
 fn release_of_a_call_that_its_caller_has_ended_after_a_crash_is_told_to_nobody() {
-    let harness = RestartHarness::new();
-    let (mut daemon, mut exchange) = harness.start();
+    let site = TestSite::new();
+    let (mut daemon, mut exchange) = site.start_with_exchange();
     let mut caller = daemon.connect_client_from(CALLER_HOST);
     establish_call(&mut exchange, &mut caller, TAG);
     daemon.kill();
-    let (mut daemon, mut exchange) = harness.start();
+    let (mut daemon, mut exchange) = site.start_with_exchange();
     let mut other = daemon.connect_client_from(OTHER_HOST);
     let mut caller = daemon.connect_client_from(CALLER_HOST);
     caller.send(RELEASE);
@@ -190,8 +169,8 @@
 /// set-up that was cancelled.
 #[test]
 fn repeated_release_of_an_own_call_is_not_forwarded() {
-    let harness = RestartHarness::new();
-    let (mut daemon, mut exchange) = harness.start();
+    let site = TestSite::new();
+    let (mut daemon, mut exchange) = site.start_with_exchange();
     let mut caller = daemon.connect_client();
     establish_call(&mut exchange, &mut caller, TAG);
     exchange.send(RELEASE);
@@ -318,8 +297,8 @@
     /// A set-up that crosses the end of its connection within this time is sent again elsewhere.
     const MAX_CROSSING_TIME: Duration = Duration::from_millis(50);
     const SEND_INTERVAL: Duration = Duration::from_millis(2);
-    let harness = RestartHarness::new();
-    let (mut daemon, mut exchange) = harness.start();
+    let site = TestSite::new();
+    let (mut daemon, mut exchange) = site.start_with_exchange();
     let (mut caller, mut sender) = (daemon.connect_client(), daemon.connect_client());
     for n in 0..CALL_COUNT {
         establish_call(&mut exchange, &mut caller, &format!("{n:016x}"));
--- a/node/tests/sip_pressure.rs
+++ b/node/tests/sip_pressure.rs
@@ -2,8 +2,9 @@
 //! and the memory stays within its limit.
 
 mod common;
+use common::site::TestSite;
 use common::*;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 const SDP: &str = "v=0\r\n";
@@ -19,17 +20,16 @@
     daemon: Daemon,
     transport: &'static str,
     exchange: Option<SipPeer>,
-    listener: TcpListener,
     addr: SocketAddr,
-    _journal: StubJournal,
+    site: TestSite,
 }
 
 impl PressureHarness {
     fn new(transport: &'static str) -> Self {
-        Self::with_config(transport, |config| config)
+        Self::with_config(transport, str::to_owned)
     }
 
-    fn with_config(transport: &'static str, edit_config: impl Fn(String) -> String) -> Self {
+    fn with_config(transport: &'static str, edit_config: impl Fn(&str) -> String) -> Self {
         let (listener, tcp_addr) = bind_listener();
         let udp_peer = SipPeer::udp(tcp_addr);
         let (exchange, addr) = match transport {
@@ -39,16 +39,15 @@
             }
             _ => (None, tcp_addr),
         };
-        let journal = StubJournal::new();
-        let servers = two_servers(addr);
         let operator_file = format!(
             "[sip]\nudp = \"127.0.0.1:0\"\ntcp = \"127.0.0.1:0\"\n\
              [[sip.exchange]]\ncell = 1\naddress = \"{addr}\"\ntransport = \"{transport}\"\n\
              [[sip.number]]\nprefix = \"21\"\nexchange = 1\nclass = \"voice\"\n"
         );
-        let config = edit_config(config_json(journal.addr, &servers));
-        let daemon = Daemon::start(&config, Some(&operator_file));
-        PressureHarness { daemon, transport, exchange, listener, addr, _journal: journal }
+        let site = TestSite::with_servers(listener, &two_servers(addr))
+            .with_operator_file(operator_file)
+            .with_config(edit_config);
+        PressureHarness { daemon: site.start(), transport, exchange, addr, site }
     }
 
     fn connect_caller(&mut self) -> SipPeer {
@@ -61,8 +60,8 @@
 
     /// The exchange. Over TCP the first call waits until the daemon connects.
     fn exchange(&mut self) -> &mut SipPeer {
-        let listener = &self.listener;
-        self.exchange.get_or_insert_with(|| SipPeer::tcp(LinePeer::accept(listener).into_stream()))
+        let site = &self.site;
+        self.exchange.get_or_insert_with(|| SipPeer::tcp(site.accept_exchange().into_stream()))
     }
 
     /// The caller sends an INVITE, and the exchange receives it.
