Treat calls of a process that ended before it handed over like those of a crash

Callers saw: the old process crashed while it and the new one served; the ends of its calls came to the new one, which passed them over, and the callers were never told.

Cause: a process with a predecessor took each unknown id for one of calls that had been handed over and told. The old process now says when all is handed over; if it ends without that, unknown ids are treated as after a crash.

Evidence: release_after_a_crash_of_the_old_process_reaches_the_caller failed before and passes now. When a process of an earlier version is replaced, which does not say it, releases that exchanges repeat are sent to each host once.

--- a/node/src/net/clients/earlier_calls.rs
+++ b/node/src/net/clients/earlier_calls.rs
@@ -131,13 +131,20 @@
         }
     }
 
-    /// Records that the previous process hands its calls over.
+    /// Records that the previous process is known and hands its calls over.
     pub(super) fn expect_calls_of_predecessor(&mut self) {
         if let Some(earlier_calls) = self.earlier_calls.as_mut() {
             earlier_calls.is_predecessor_known = true;
         }
     }
 
+    /// Records that the previous process has ended without handing its calls over.
+    pub fn expect_calls_of_unknown_processes(&mut self) {
+        if let Some(earlier_calls) = self.earlier_calls.as_mut() {
+            earlier_calls.is_predecessor_known = false;
+        }
+    }
+
     /// Whether an id that no call has can only be that of a call of an earlier process.
     pub(super) fn is_earlier_call(&self, tag: &str) -> bool {
         let earlier_calls = self.earlier_calls.as_ref().filter(|calls| !calls.is_predecessor_known);
--- a/node/src/net/clients/handover.rs
+++ b/node/src/net/clients/handover.rs
@@ -23,6 +23,7 @@
             self.keep_release(release, cx);
         }
         self.hand_over_earlier_releases(cx);
+        self.write_handover(&Record::HandedOver, cx);
         cx.log.line(cx.now, "handover-started", format_args!("{calls} calls, {releases} releases"));
     }
 
--- a/node/src/net/handover.rs
+++ b/node/src/net/handover.rs
@@ -119,6 +119,8 @@
     /// Ids of the releases that were received: a process passes those that wait on when it is replaced, and again when it
     /// stops.
     forwarded: HashSet<String>,
+    /// Whether the process that this one replaces has handed over all its calls.
+    is_handed_over: bool,
     is_poll_scheduled: bool,
 }
 
@@ -190,6 +192,14 @@
         // If a file cannot be removed, it only takes up space.
         let _ = std::fs::remove_file(&reader.path);
         clients.end_return();
+        if !self.is_handed_over {
+            cx.log.line(
+                cx.now,
+                "handover-missing",
+                "the process has ended without handing its calls over",
+            );
+            clients.expect_calls_of_unknown_processes();
+        }
         cx.log.line(cx.now, "handover-complete", format_args!("{} calls adopted", self.adopted.len()));
         // A release that was in flight on a connection of the old process is lost.
         exchanges.request_repeats_for_adopted_calls(cx);
@@ -226,6 +236,7 @@
                 let EarlierRelease { tag, cause, informed_hosts } = release;
                 clients.add_earlier_release(&tag, cause, informed_hosts, cx);
             }
+            Record::HandedOver => self.is_handed_over = true,
             Record::RecentId { tag, until } => clients.add_recent_id(tag, until, cx.now),
             Record::Forget { tag } => {
                 self.adopted.remove(&tag);
@@ -261,6 +272,7 @@
         }
         Record::Call(_)
         | Record::EarlierRelease(_)
+        | Record::HandedOver
         | Record::RecentId { .. }
         | Record::Forget { .. } => return,
     };
--- a/node/src/net/handover/records.rs
+++ b/node/src/net/handover/records.rs
@@ -11,6 +11,9 @@
 /// One record of the handover file.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Record {
+    /// All calls that were established and all releases that waited when the writing process was told to stop have been
+    /// handed over. Those that follow are handed over one by one.
+    HandedOver,
     /// An established call that the new process adopts.
     Call(EstablishedCall),
     /// A call has ended, and its caller is owed a release.
@@ -134,6 +137,7 @@
                     ("informed_hosts", JsonValue::Array(hosts.collect())),
                 ]
             }
+            Record::HandedOver => vec![("type", text("handed_over"))],
             Record::RecentId { tag, until } => {
                 vec![("type", text("recent_id")), ("tag", text(tag)), ("until_ms", millis(*until))]
             }
@@ -186,6 +190,7 @@
                 let until = read::millis(&root, "until_ms")?;
                 Ok(Record::RecentId { tag: tag()?, until })
             }
+            "handed_over" => Ok(Record::HandedOver),
             "forget" => Ok(Record::Forget { tag: tag()? }),
             other => Err(format!("type: {other} is unknown")),
         }
@@ -202,6 +207,7 @@
         let (tag, host) = ("9b1f03aa5c7e2d41".to_owned(), IpAddr::from([127, 0, 0, 1]));
         let time = Duration::from_millis;
         let records = [
+            Record::HandedOver,
             Record::Call(EstablishedCall {
                 tag: tag.clone(),
                 host,
--- a/node/tests/handover.rs
+++ b/node/tests/handover.rs
@@ -309,3 +309,20 @@
     replacement.old_exchange_connection.send(&release(TAG));
     expect_release(&mut caller, TAG, released_at);
 }
+
+/// Guards against calls that nobody knows after the old process has crashed while both served: the releases are passed over
+/// as if they were of calls that had been handed over and told.
+#[test]
+fn release_after_a_crash_of_the_old_process_reaches_the_caller() {
+    let mut replacement = Replacement::start(|daemon, exchange| {
+        let mut client = daemon.connect_client();
+        establish_call(exchange, &mut client, TAG);
+    });
+    std::thread::sleep(SETTLE_TIME);
+    replacement.old_daemon.kill();
+    replacement.new_daemon.wait_for_log("handover-complete");
+    replacement.new_exchange_connection.send(&release(TAG));
+    replacement.new_daemon.wait_for_log("release-unmatched");
+    let mut caller = replacement.new_daemon.connect_client();
+    expect_release(&mut caller, TAG, Instant::now());
+}
