Count and log releases towards exchanges that are given up

They are counted in discarded_exchange_releases and logged as exchange-release-discarded. No test makes one expire; the limits are unchanged.

--- a/node/src/net/exchanges/mod.rs
+++ b/node/src/net/exchanges/mod.rs
@@ -128,6 +128,8 @@
     unread: Vec<Token>,
     /// Number of releases received under an id that no attempt has.
     unmatched_release_count: u64,
+    /// Number of releases towards exchanges that were given up.
+    discarded_release_count: u64,
     /// Those of the current iteration.
     unmatched_releases: Vec<UnmatchedRelease>,
 }
@@ -151,6 +153,7 @@
             connections_to_end: Vec::new(),
             unread: Vec::new(),
             unmatched_release_count: 0,
+            discarded_release_count: 0,
             unmatched_releases: Vec::new(),
         }
     }
@@ -165,6 +168,11 @@
         self.unmatched_release_count
     }
 
+    /// Number of releases towards exchanges that were given up before they could be sent.
+    pub fn discarded_release_count(&self) -> u64 {
+        self.discarded_release_count
+    }
+
     /// Takes the releases of this iteration that were received under an id that no attempt has.
     pub fn take_unmatched_releases(&mut self) -> Vec<UnmatchedRelease> {
         std::mem::take(&mut self.unmatched_releases)
@@ -334,6 +342,8 @@
                         if let Some(peer) = self.peers.get_mut(&sent.exchange) {
                             if peer.pending_releases.len() < MAX_PENDING_RELEASES {
                                 peer.pending_releases.push((cx.now + PENDING_RELEASE_TIMEOUT, release));
+                            } else {
+                                self.discard_release(sent.exchange, "too many wait", cx);
                             }
                         }
                     }
@@ -494,6 +504,14 @@
         Ok(())
     }
 
+    /// Counts and logs a release towards an exchange that is given up.
+    fn discard_release(&mut self, exchange: ExchangeId, why: &str, cx: &mut Context) {
+        self.discarded_release_count += 1;
+        let name = cx.engine.exchange_name(exchange);
+        let text = format_args!("exchange={name} why=\"{why}\"");
+        cx.log.line(cx.now, "exchange-release-discarded", text);
+    }
+
     /// Handles an established connection: sends the pending releases and dials the missing connections.
     fn on_connected(&mut self, token: Token, cx: &mut Context) {
         let Some(connection) = self.connections.get_mut(token) else {
@@ -506,6 +524,8 @@
             for (deadline, release) in std::mem::take(&mut peer.pending_releases) {
                 if deadline > cx.now {
                     self.send(token, &release);
+                } else {
+                    self.discard_release(exchange, "no connection in time", cx);
                 }
             }
         }
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -343,6 +343,7 @@
                             journal: journal.stats(),
                             releases: clients.release_stats(),
                             unmatched_releases: exchanges.unmatched_release_count(),
+                            discarded_exchange_releases: exchanges.discarded_release_count(),
                         };
                         let answer = execute_operator_command(command, host_stats, &mut cx);
                         operators.answer(token, &answer, &mut cx);
--- a/node/src/stats.rs
+++ b/node/src/stats.rs
@@ -27,6 +27,8 @@
     pub releases: ReleaseStats,
     /// Releases from exchanges under an id that no call or attempt has.
     pub unmatched_releases: u64,
+    /// Releases towards exchanges that were given up before they could be sent.
+    pub discarded_exchange_releases: u64,
 }
 
 /// Formats the statistics; `classes` are the names of the classes in the order of the settings.
@@ -63,6 +65,7 @@
         ("discarded_releases", host.releases.discarded),
         ("unmatched_releases", host.unmatched_releases),
         ("earlier_releases", host.releases.earlier),
+        ("discarded_exchange_releases", host.discarded_exchange_releases),
     ];
     for (name, count) in totals {
         let _ = write!(out, ",\"{name}\":{count}");
@@ -114,8 +117,9 @@
             journal: JournalStats { position: 41, dials: 3, unserved: 1 },
             releases: ReleaseStats { pending: 7, redirected: 4, discarded: 8, earlier: 5 },
             unmatched_releases: 9,
+            discarded_exchange_releases: 2,
         };
         let line = json(&stats, host, &classes);
-        insta::assert_snapshot!(line, @r#"{"results":{"voice":{"succeeded":8,"declined":2,"aborted":1},"a \"b\"\n":{"succeeded":8,"declined":2,"aborted":1}},"forwards":14,"outstanding":3,"adopted":6,"discovered":5,"ejected":1,"sighup_applied":2,"sighup_rejected":1,"journal_event":41,"journal_dials":3,"journal_unserved":1,"standing":2,"retries":3,"checks":6,"adverse_observations":2,"pending_releases":7,"redirected_releases":4,"discarded_releases":8,"unmatched_releases":9,"earlier_releases":5,"releases":{"cut":1,"ended":5},"attempt_ends":{"timed out":4}}"#);
+        insta::assert_snapshot!(line, @r#"{"results":{"voice":{"succeeded":8,"declined":2,"aborted":1},"a \"b\"\n":{"succeeded":8,"declined":2,"aborted":1}},"forwards":14,"outstanding":3,"adopted":6,"discovered":5,"ejected":1,"sighup_applied":2,"sighup_rejected":1,"journal_event":41,"journal_dials":3,"journal_unserved":1,"standing":2,"retries":3,"checks":6,"adverse_observations":2,"pending_releases":7,"redirected_releases":4,"discarded_releases":8,"unmatched_releases":9,"earlier_releases":5,"discarded_exchange_releases":2,"releases":{"cut":1,"ended":5},"attempt_ends":{"timed out":4}}"#);
     }
 }
--- a/node/tests/operations.rs
+++ b/node/tests/operations.rs
@@ -50,7 +50,7 @@
     ));
     assert!(client.receive().contains(OTHER_TAG));
     insta::assert_snapshot!(daemon.operator_request("DUMP").join("\n"), @r#"
-    {"results":{"voice":{"succeeded":1,"declined":1,"aborted":0}},"forwards":2,"outstanding":1,"adopted":0,"discovered":2,"ejected":0,"sighup_applied":0,"sighup_rejected":0,"journal_event":1,"journal_dials":1,"journal_unserved":0,"standing":1,"retries":0,"checks":0,"adverse_observations":0,"pending_releases":0,"redirected_releases":0,"discarded_releases":0,"unmatched_releases":0,"earlier_releases":0,"releases":{},"attempt_ends":{"processor full":1}}
+    {"results":{"voice":{"succeeded":1,"declined":1,"aborted":0}},"forwards":2,"outstanding":1,"adopted":0,"discovered":2,"ejected":0,"sighup_applied":0,"sighup_rejected":0,"journal_event":1,"journal_dials":1,"journal_unserved":0,"standing":1,"retries":0,"checks":0,"adverse_observations":0,"pending_releases":0,"redirected_releases":0,"discarded_releases":0,"unmatched_releases":0,"earlier_releases":0,"discarded_exchange_releases":0,"releases":{},"attempt_ends":{"processor full":1}}
     end
     "#);
     exchange.send(&format!(r#"{{"verb":"FINISH","tag":"{TAG}","opts":{{}},"rc":16}}"#));
@@ -59,7 +59,7 @@
     assert!(dump.contains(r#""outstanding":0"#), "a call is still outstanding");
     assert!(
         dump.contains(
-            r#""standing":0,"retries":0,"checks":0,"adverse_observations":0,"pending_releases":0,"redirected_releases":0,"discarded_releases":0,"unmatched_releases":0,"earlier_releases":0,"releases":{"ended":1}"#
+            r#""standing":0,"retries":0,"checks":0,"adverse_observations":0,"pending_releases":0,"redirected_releases":0,"discarded_releases":0,"unmatched_releases":0,"earlier_releases":0,"discarded_exchange_releases":0,"releases":{"ended":1}"#
         ),
         "unexpected counts: {dump}"
     );
