Go on alone when the process that was to replace this one has ended

Since releases under unknown ids are passed to a successor before SIGTERM, one that had crashed would have taken all later ones with it, and the next one would not have been followed (the ids of ended calls went the same way before). The old process now notices the end of its successor, stops sharing and looks for the next one.

--- a/node/src/net/clients/recent_ids.rs
+++ b/node/src/net/clients/recent_ids.rs
@@ -73,6 +73,13 @@
         }
     }
 
+    /// Shares nothing more, as the process that was to replace this one has ended.
+    pub fn end_sharing(&mut self) {
+        if let Some(writer) = self.shared_records.take() {
+            writer.remove();
+        }
+    }
+
     /// Writes a record for the process that replaces this one. Returns whether it was written.
     pub(super) fn share(&mut self, record: &Record, cx: &mut Context) -> bool {
         let Some(written) = self.shared_records.as_mut().map(|writer| writer.write(record)) else {
--- a/node/src/net/handover.rs
+++ b/node/src/net/handover.rs
@@ -11,7 +11,7 @@
 
 use super::clients::Clients;
 use super::exchanges::Exchanges;
-use super::{Context, TimerEvent};
+use super::{Context, TimerEvent, SUCCESSOR_POLL_INTERVAL};
 use std::collections::{BTreeSet, HashSet};
 use std::fmt;
 use std::fs::{File, OpenOptions};
@@ -174,7 +174,11 @@
             for record in reader.poll(cx) {
                 apply_from_successor(record, clients, cx);
             }
-            self.from_successor = Some(reader).filter(|r| !r.is_complete);
+            if reader.is_complete {
+                successor_ended(clients, cx);
+            } else {
+                self.from_successor = Some(reader);
+            }
         }
         if self.from_predecessor.is_some() || self.from_successor.is_some() {
             self.schedule_poll(cx);
@@ -261,6 +265,15 @@
     true
 }
 
+/// The process that was to replace this one has ended. If this one goes on, another one may replace it later.
+fn successor_ended(clients: &mut Clients, cx: &mut Context) {
+    if !cx.lifecycle.is_stopping() {
+        cx.log.line(cx.now, "successor-ended", "the process that was to replace this one has ended");
+        clients.end_sharing();
+        cx.timers.schedule(cx.now + SUCCESSOR_POLL_INTERVAL, TimerEvent::SuccessorPoll);
+    }
+}
+
 /// Applies a record of the process that replaces this one: a release whose caller is not connected there, but
 /// may still be connected here, or one that is unknown there.
 fn apply_from_successor(record: Record, clients: &mut Clients, cx: &mut Context) {
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -370,13 +370,14 @@
                 TimerEvent::ClientReady(token) => clients.ready(token, &mut cx),
                 TimerEvent::SuccessorPoll => {
                     let pid_file = pid_file.as_ref().filter(|pid_file| pid_file.is_taken_over());
-                    match pid_file.map(PidFile::handover_writer) {
-                        Some(Ok(writer)) => {
+                    let successor =
+                        pid_file.and_then(|p| Some((p.return_reader()?, p.handover_writer())));
+                    match successor {
+                        Some((reader, Ok(writer))) => {
                             clients.begin_sharing(writer, &mut cx);
-                            handover
-                                .follow_successor(pid_file.and_then(PidFile::return_reader), &mut cx);
+                            handover.follow_successor(Some(reader), &mut cx);
                         }
-                        Some(Err(e)) => cx.log.line(now, "handover-failed", e),
+                        Some((_, Err(e))) => cx.log.line(now, "handover-failed", e),
                         None => {
                             cx.timers.schedule(now + SUCCESSOR_POLL_INTERVAL, TimerEvent::SuccessorPoll)
                         }
--- a/node/tests/handover.rs
+++ b/node/tests/handover.rs
@@ -5,7 +5,7 @@
 use common::site::TestSite;
 use common::*;
 use slateshed_trials::exchange::{Behavior, FaultyExchange};
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, TcpListener};
 use std::time::{Duration, Instant};
 
 const TAG: &str = "9b1f03aa5c7e2d41";
@@ -26,6 +26,7 @@
     /// The connection of the new process to the exchange.
     new_exchange_connection: LinePeer,
     site: TestSite,
+    socket: TcpListener,
 }
 
 impl Replacement {
@@ -41,7 +42,14 @@
         let mut new_daemon = site.start_on(&socket);
         assert_eq!(new_daemon.operator_request("HEALTH"), ["done"]);
         let new_exchange_connection = site.accept_exchange();
-        Replacement { old_daemon, new_daemon, old_exchange_connection, new_exchange_connection, site }
+        Replacement {
+            old_daemon,
+            new_daemon,
+            old_exchange_connection,
+            new_exchange_connection,
+            site,
+            socket,
+        }
     }
 
     /// Stops the old process and waits until it has handed over its calls.
@@ -326,3 +334,30 @@
     let mut caller = replacement.new_daemon.connect_client();
     expect_release(&mut caller, TAG, Instant::now());
 }
+
+/// Guards against a process that goes on passing releases to one that was to replace it and has ended, and does not notice
+/// the next one.
+#[test]
+fn process_whose_successor_has_crashed_tells_its_callers_and_follows_the_next_one() {
+    let mut caller = None;
+    let mut replacement = Replacement::start(|daemon, exchange| {
+        let mut client = daemon.connect_client();
+        establish_call(exchange, &mut client, OTHER_TAG);
+        caller = Some(client);
+    });
+    let mut caller = caller.expect("the call is established");
+    std::thread::sleep(SETTLE_TIME);
+    replacement.new_daemon.kill();
+    std::thread::sleep(SETTLE_TIME);
+    // An earlier process has set the call up.
+    let released_at = Instant::now();
+    replacement.old_exchange_connection.send(&release(TAG));
+    expect_release(&mut caller, TAG, released_at);
+    let mut next_daemon = replacement.site.start_on(&replacement.socket);
+    assert_eq!(next_daemon.operator_request("HEALTH"), ["done"]);
+    let mut next_exchange_connection = replacement.site.accept_exchange();
+    std::thread::sleep(SETTLE_TIME);
+    let released_at = Instant::now();
+    next_exchange_connection.send(&release(OTHER_TAG));
+    expect_release(&mut caller, OTHER_TAG, released_at);
+}
