Let a paused process of the tests go on only when all that was sent to it is there

Traced: the daemon had the first two set-ups and not yet the end of the stream, as the system delivers on loopback later when the processors are busy. So the clients had not left from the daemon's view, and the test's premise did not hold.

--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)] // each test binary uses only some of these items
 
 pub mod site;
+mod socket_table;
 
 use mio::Poll;
 use slateshed::{DialledNumber, ExchangeNumber, Origin};
@@ -265,14 +266,20 @@
         self.send_signal("-HUP");
     }
 
-    /// Stops the process for as long as a function runs, so that what peers do meanwhile arrives all at once.
+    /// Stops the process for as long as a function runs, so that what peers do meanwhile arrives all at once: it goes on
+    /// once the system has delivered all that they have sent, and the ends of their connections.
     pub fn while_paused<T>(&mut self, run: impl FnOnce() -> T) -> T {
+        let mut ports = vec![self.client_addr().port()];
+        if self.log_lines.iter().any(|line| line.contains("sip-started") && line.contains("tcp")) {
+            ports.push(self.sip_addr("tcp").port());
+        }
         self.send_signal("-STOP");
         let path = format!("/proc/{}/stat", self.child.id());
         while !std::fs::read_to_string(&path).is_ok_and(|stat| stat.contains(") T ")) {
             std::thread::sleep(Duration::from_millis(1));
         }
         let result = run();
+        socket_table::wait_until_delivered(&ports);
         self.send_signal("-CONT");
         result
     }
