Keep waiting releases of earlier calls when no more ids are recorded

Once as many ids were recorded as the limit allows, the whole table of earlier calls was dropped, and with it, without a line or a count, the releases that still waited for hosts to connect. Now only the ids go, and they are sent or given up as ever.

Evidence: a unit test, on an interface that is new; it was not run on the code before.

--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -52,8 +52,7 @@
     pub dialled_text: String,
     /// The caller's session description.
     pub description: String,
-    /// The host of a caller on the lines' front, whose connection a release need not be sent on; `None` on the SIP
-    /// front, where the dialog says where the caller is.
+    /// The host of a caller on the lines' front; `None` for a caller on the SIP front, whose dialog says where it is.
     pub caller_host: Option<IpAddr>,
 }
 
--- a/node/src/net/clients.rs
+++ b/node/src/net/clients.rs
@@ -156,8 +156,8 @@
     /// The file in which releases are returned to the process that this one replaces. Their callers may still be
     /// connected there.
     return_writer: Option<HandoverWriter>,
-    /// `None` if the previous process hands its calls over, or has ended long ago.
-    earlier_calls: Option<EarlierCalls>,
+    /// Calls of earlier processes that have not handed them over.
+    earlier_calls: EarlierCalls,
     /// Counts of releases, but for those that wait for a connection.
     release_stats: ReleaseStats,
     /// Ids of calls that have ended recently.
@@ -190,7 +190,7 @@
             pending_releases: PendingReleases::new(MAX_PENDING_RELEASES),
             handover: None,
             return_writer: None,
-            earlier_calls: Some(EarlierCalls::new(limits.max_own_ids())),
+            earlier_calls: EarlierCalls::new(limits.max_own_ids()),
             release_stats: ReleaseStats::default(),
             recent_ids: RecentIds::new(limits.max_own_ids()),
             shared_records: None,
--- a/node/src/net/clients/earlier_calls.rs
+++ b/node/src/net/clients/earlier_calls.rs
@@ -25,6 +25,9 @@
     /// The ids of all set-ups that this process has received, and of calls that their callers have ended. An exchange repeats the releases of these calls, too.
     own_ids: HashSet<u64>,
     max_own_ids: usize,
+    /// Whether so many ids were recorded that no more are. The calls of an earlier process can't be told from those of
+    /// this one then; they have ended long before.
+    is_full: bool,
     /// Whether the previous process hands its calls over, so that only it can tell that a call is of an earlier one.
     is_predecessor_known: bool,
     releases: VecDeque<EarlierRelease>,
@@ -51,19 +54,26 @@
         EarlierCalls {
             own_ids: HashSet::new(),
             max_own_ids,
+            is_full: false,
             is_predecessor_known: false,
             releases: VecDeque::new(),
         }
     }
 
-    /// Whether this process has received so many set-ups that their ids are no longer recorded.
-    fn is_full(&self) -> bool {
-        self.own_ids.len() >= self.max_own_ids
+    /// Records an id. Returns whether it is new, which is not known once there are too many.
+    fn record(&mut self, tag: &str) -> bool {
+        let is_new = !self.is_full && id_number(tag).is_some_and(|id| self.own_ids.insert(id));
+        if self.own_ids.len() >= self.max_own_ids {
+            self.own_ids = HashSet::new();
+            self.is_full = true;
+        }
+        is_new
     }
 
-    /// Whether this process has received a set-up, or the release of an earlier call, under an id.
-    fn has_id(&self, tag: &str) -> bool {
-        id_number(tag).is_none_or(|id| self.own_ids.contains(&id))
+    /// Whether an id that no call has can only be that of a call of an earlier process.
+    fn is_earlier_call(&self, tag: &str) -> bool {
+        let is_new = id_number(tag).is_some_and(|id| !self.own_ids.contains(&id));
+        is_new && !self.is_full && !self.is_predecessor_known
     }
 
     /// Adds a release, unless the call is one of this process or its release was received before. Returns whether it was
@@ -75,8 +85,7 @@
         informed_hosts: BTreeSet<IpAddr>,
         now: Duration,
     ) -> bool {
-        let is_new = id_number(tag).is_some_and(|id| self.own_ids.insert(id));
-        if !is_new {
+        if !self.record(tag) {
             return false;
         }
         self.releases.push_back(EarlierRelease {
@@ -120,35 +129,24 @@
 }
 
 impl Clients {
-    /// Records the id of a set-up, or of a call that its caller has ended. Once there are too many of them, the calls of an earlier process cannot be told
-    /// from those of this one; they have ended long before.
+    /// Records the id of a set-up, or of a call that its caller has ended.
     pub(super) fn record_own_id(&mut self, tag: &str) {
-        if let Some((earlier_calls, id)) = self.earlier_calls.as_mut().zip(id_number(tag)) {
-            earlier_calls.own_ids.insert(id);
-        }
-        if self.earlier_calls.as_ref().is_some_and(EarlierCalls::is_full) {
-            self.earlier_calls = None;
-        }
+        self.earlier_calls.record(tag);
     }
 
     /// Records that the previous process is known and hands its calls over.
     pub(super) fn expect_calls_of_predecessor(&mut self) {
-        if let Some(earlier_calls) = self.earlier_calls.as_mut() {
-            earlier_calls.is_predecessor_known = true;
-        }
+        self.earlier_calls.is_predecessor_known = true;
     }
 
     /// Records that the previous process has ended without handing its calls over.
     pub fn expect_calls_of_unknown_processes(&mut self) {
-        if let Some(earlier_calls) = self.earlier_calls.as_mut() {
-            earlier_calls.is_predecessor_known = false;
-        }
+        self.earlier_calls.is_predecessor_known = false;
     }
 
     /// Whether an id that no call has can only be that of a call of an earlier process.
     pub(super) fn is_earlier_call(&self, tag: &str) -> bool {
-        let earlier_calls = self.earlier_calls.as_ref().filter(|calls| !calls.is_predecessor_known);
-        earlier_calls.is_some_and(|calls| !calls.has_id(tag))
+        self.earlier_calls.is_earlier_call(tag)
     }
 
     /// Handles a release under an id that no call has: if an earlier process has established the call, its caller is
@@ -188,10 +186,7 @@
         informed_hosts: BTreeSet<IpAddr>,
         cx: &mut Context,
     ) {
-        let Some(earlier_calls) = self.earlier_calls.as_mut() else {
-            return;
-        };
-        if !earlier_calls.add(tag, cause, informed_hosts, cx.now) {
+        if !self.earlier_calls.add(tag, cause, informed_hosts, cx.now) {
             return;
         }
         self.release_stats.earlier += 1;
@@ -206,9 +201,7 @@
 
     /// Gives up the releases of earlier calls whose time is over.
     pub(super) fn discard_finished_earlier_releases(&mut self, cx: &mut Context) {
-        let now = cx.now;
-        let pop = |clients: &mut Self| clients.earlier_calls.as_mut()?.pop_finished(now);
-        while let Some((tag, why)) = pop(self) {
+        while let Some((tag, why)) = self.earlier_calls.pop_finished(cx.now) {
             if let Some(why) = why {
                 self.discard_release(&tag, why, cx);
             }
@@ -217,10 +210,7 @@
 
     /// Hands the releases over that callers who connect later are to be sent.
     pub(super) fn hand_over_earlier_releases(&mut self, cx: &mut Context) {
-        let Some(earlier_calls) = self.earlier_calls.as_mut() else {
-            return;
-        };
-        for release in std::mem::take(&mut earlier_calls.releases) {
+        for release in std::mem::take(&mut self.earlier_calls.releases) {
             let record = Record::EarlierRelease(handover::EarlierRelease {
                 tag: release.tag,
                 cause: release.cause,
@@ -232,10 +222,7 @@
 
     /// Sends the releases of earlier calls on a connection, if they were not sent to its host before.
     pub(super) fn send_earlier_releases(&mut self, token: Token, host: IpAddr, cx: &mut Context) {
-        let Some(earlier_calls) = self.earlier_calls.as_mut() else {
-            return;
-        };
-        for release in earlier_calls.take_for_host(host, cx.now) {
+        for release in self.earlier_calls.take_for_host(host, cx.now) {
             self.redirect_release(token, release, cx);
         }
     }
@@ -262,6 +249,21 @@
         assert_eq!(calls.take_for_host(hosts[1], now + EARLIER_RELEASE_TIMEOUT).len(), 0);
     }
 
+    /// Guards against releases that vanish when too many ids are recorded, and against calls of this process that are taken
+    /// for earlier ones from then on.
+    #[test]
+    fn releases_are_kept_when_no_more_ids_are_recorded() {
+        let (now, host) = (Duration::from_secs(1), IpAddr::from([127, 0, 0, 2]));
+        let mut calls = EarlierCalls::new(2);
+        assert!(calls.is_earlier_call("a"));
+        assert!(calls.add("a", ReleaseCause::Normal, BTreeSet::new(), now));
+        assert!(calls.record("b"));
+        assert!(
+            !calls.is_earlier_call("c") && !calls.add("c", ReleaseCause::Normal, BTreeSet::new(), now)
+        );
+        assert_eq!(calls.take_for_host(host, now).len(), 1);
+    }
+
     /// Guards against a release that is given up without a reason in the log, or kept beyond its time or the limit.
     #[test]
     fn release_is_given_up_at_its_time_or_beyond_the_limit() {
