--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod site;
 mod socket_table;
+pub mod trials;
 
 use mio::Poll;
 use slateshed::{DialledNumber, ExchangeNumber, Origin};
